--- a/include/pointlane/sender.hpp
+++ b/include/pointlane/sender.hpp
@@ -109,10 +109,24 @@
     Result result = Result::ok;
     bool over = false;  // the message has ended
     double elapsed_ms = 0;
-    double wait_ms = 0;  // with full: the wait that was told, 0 if none
+    double wait_ms = 0;  // the wait that was told, 0 if none
     Report report;
 };
 
+// A message that an earlier life of this sender took on, with what became of its attempts.
+struct Restored {
+    Arrival message;
+    int attempts = 0;           // made so far; they count
+    bool may_have_run = false;  // one of them may have run, or was out when the process ended
+    Time first_risky = 0;       // when the first such attempt was sent
+    std::uint16_t zone = 0;     // and in which zone
+};
+
+// The sender's process ends then: an attempt still out at that time may have run.
+struct Stopping {
+    Time at = 0;
+};
+
 struct Withdrawn {
     MessageId id = 0;
 };
@@ -125,7 +139,7 @@
     std::string body;
 };
 
-using Event = std::variant<ListUpdate, Arrival, Outcome, Withdrawn, TimerFired, PeerNote>;
+using Event = std::variant<ListUpdate, Arrival, Restored, Outcome, Withdrawn, Stopping, TimerFired, PeerNote>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
@@ -133,6 +147,7 @@
     MessageId id = 0;
     EndpointId endpoint;
     Time expires = 0;
+    Time start_by = 0;  // its first byte goes by then or not at all
 };
 struct Refuse {
     MessageId id = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,6 +46,7 @@
 constexpr double tight_ms = 60000, tables_gain = 0.02, tables_tight = 0.05, least_reuse = 3;
 // A sibling that delivered so lately does well; between trials of an endpoint that alone is out.
 constexpr double sibling_ok_ms = 3000, trial_gap_ms = 2500;
+constexpr double stop_margin = 4;  // before the process ends, calls go that need no more than so many means
 constexpr double ask_again_ms = 300, ask_ceiling_ms = 4000;  // asking for the list after a failure
 // Over which arrivals are counted; share of holding room kept free; a tenant's burst within its share.
 constexpr double arrivals_ms = 5000, spare_held = 0.05, tenant_depth_ms = 2000;
@@ -380,11 +381,35 @@
     }
 
     void on(const Arrival& a) {
-        if (messages_.count(a.id) != 0) return;
+        if (admit(a) != nullptr) make_room();
+    }
+
+    // What a restart must not forget: attempts made, and that one may have run. The rest starts anew.
+    void on(const Restored& r) {
+        Message* const m = admit(r.message);
+        if (m == nullptr) return;
+        m->attempts = r.attempts;
+        if (r.may_have_run) {
+            m->first_risky = r.first_risky;
+            m->zone = r.zone;
+        }
+        const bool unsafe = s_.classes[m->message_class].repeat == Repeat::side_effect;
+        const bool permitted = m->first_risky == never || !unsafe;
+        if (!permitted || m->attempts >= s_.max_attempts || now_ >= last_call(*m)) return finish(*m);
+        if (last_call(*m) < last_moment(*m)) set_timer(last_call(*m), TimerKind::deadline, m->id);
+    }
+
+    void on(const Stopping& s) { stops_at_ = s.at; }
+
+    Message* admit(const Arrival& a) {
+        if (messages_.count(a.id) != 0) return nullptr;
         const bool known = a.message_class < s_.classes.size() &&
                            (s_.tenant_rates.empty() || a.tenant < s_.tenant_rates.size()) &&
                            std::isfinite(a.due);
-        if (!known) return act(Refuse{a.id, 0});
+        if (!known) {
+            act(Refuse{a.id, 0});
+            return nullptr;
+        }
         auto& m = messages_[a.id];
         m.id = a.id;
         m.message_class = a.message_class;
@@ -404,7 +429,7 @@
             line.line.push_back(m.id);
             if (line.line.size() == 1) pass_turn(m.key);
         }
-        make_room();
+        return &m;
     }
 
     bool beyond_share(std::uint16_t tenant) {
@@ -590,6 +615,8 @@
     // The one gate of every attempt: the time from which it may go, never if an event must come first.
     Time may_send(Lane& lane, Endpoint& e, const Message& m) {
         if (e.state != ListingState::ready) return never;
+        // What is out when the process ends may have run; an unsafe one would be lost by it.
+        if (now_ + stop_margin * expected_ms(lane, m.message_class) > stops_at_) return never;
         if (now_ < lane.wait_until) return lane.wait_until;
         const bool trial = lane.health.out || silent(lane, lane.health);
         const double most = std::max(1.0, std::floor(s_.slots * (trial ? failing_share : healthy_share)));
@@ -677,7 +704,7 @@
         m.call = call;
         ++m.attempts;
         ++calls_[call];
-        act(Attempt{m.id, endpoints_[endpoint].id, std::min(m.due, now_ + patience)});
+        act(Attempt{m.id, endpoints_[endpoint].id, std::min(m.due, now_ + patience), last_call(m)});
     }
 
     void on(const Outcome& o) {
@@ -694,6 +721,9 @@
             lane.latency[m.message_class].add(o.elapsed_ms);
             overall_[m.message_class].add(o.elapsed_ms);
         }
+        // A wait may come with any answer, also one that took messages on.
+        if (o.result != Result::full && o.wait_ms > 0)
+            lane.wait_until = std::max(lane.wait_until, now_ + o.wait_ms + s_.tick_ms);
         weigh(e, o.result, o.wait_ms, m.sent);
         if (o.result == Result::ok || o.over || m.over) {
             rest_key(m, o.result);
@@ -950,7 +980,7 @@
     std::set<int> eager_, backlog_;
     std::uint64_t last_call_ = 0, timer_order_ = 0;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
-    Time armed_ = never;
+    Time armed_ = never, stops_at_ = never;
     std::uint32_t timer_name_ = 0;
 };
 
--- /dev/null
+++ b/src/cluster/cluster.cpp
@@ -0,0 +1,163 @@
+#include "cluster/cluster.hpp"
+
+#include <algorithm>
+
+#include "http/parser.hpp"
+#include "http/writer.hpp"
+#include "runtime/log.hpp"
+
+namespace pointlane::cluster {
+namespace {
+
+constexpr double first_pause_ms = 100, longest_pause_ms = 2000;
+constexpr double dial_ms = 1000;
+// An empty line comes every 2 s; after so many without any the watch is opened anew.
+constexpr double silence_ms = 10000;
+constexpr http::Limits watch_limits{16 * 1024, 8 * 1024 * 1024};
+constexpr std::size_t most_hosts = 20000;
+
+int place_of(const std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
+}
+
+std::string watch_request(std::uint32_t after) {
+    return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
+                               {{"Host", "discovery"}}, "");
+}
+
+}  // namespace
+
+std::optional<News> read_news(const config::Flat& flat, const config::Config& config) {
+    const double version = config::number_or(flat, "rev", -1);
+    if (version < 0 || version > 4294967295.0) return std::nullopt;
+    News news;
+    news.version = static_cast<std::uint32_t>(version);
+    news.whole = config::text_or(flat, "all") == "true";
+    const auto count = static_cast<std::size_t>(std::max(0.0, config::number_or(flat, "targets.count", 0)));
+    for (std::size_t i = 0; i < std::min(count, most_hosts); ++i) {
+        const auto at = "targets." + std::to_string(i) + '.';
+        News::Line line;
+        line.uid = config::text_or(flat, at + "uid");
+        const auto address = runtime::parse_address(config::text_or(flat, at + "endpoint"));
+        const double group = config::number_or(flat, at + "pod_group", -1);
+        const auto state = config::text_or(flat, at + "state");
+        if (line.uid.empty() || group < 0 || group > 65535 || (!address && state != "Gone")) {
+            runtime::log("cluster", "an entry of the list cannot be read");
+            continue;
+        }
+        if (address) line.address = *address;
+        line.listing.destination = static_cast<std::uint16_t>(group);
+        line.listing.zone = static_cast<std::uint16_t>(std::max(0, place_of(config.zones, config::text_or(flat, at + "az"))));
+        line.listing.kind = static_cast<std::uint8_t>(std::max(0, place_of(config.kinds, config::text_or(flat, at + "model"))));
+        line.listing.state = state == "Ready"  ? ListingState::ready
+                             : state == "Gone" ? ListingState::gone
+                                               : ListingState::draining;
+        line.listing.weight = config::number_or(flat, at + "capacity_hint", 0);
+        news.lines.push_back(std::move(line));
+    }
+    return news;
+}
+
+Cluster::Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
+                 upstream::Pool& pool)
+    : scheduler_(scheduler), config_(config), discovery_(discovery), pool_(pool), waker_(scheduler), mailbox_(waker_) {}
+
+dispatch::Listed Cluster::apply(const News& news) {
+    version_ = news.version;
+    dispatch::Listed listed;
+    listed.whole = news.whole;
+    if (news.whole) {
+        for (auto& [uid, host] : hosts_) {
+            const bool named = std::any_of(news.lines.begin(), news.lines.end(), [&](const auto& l) { return l.uid == uid; });
+            if (named || !host.ready) continue;
+            host.ready = false;
+            pool_.relist(host);
+        }
+    }
+    for (const auto& line : news.lines) {
+        auto [known, fresh] = hosts_.try_emplace(line.uid);
+        auto& host = known->second;
+        if (fresh) host.id = {static_cast<std::uint32_t>(hosts_.size()), 0};
+        if (line.address.port != 0) host.address = line.address;
+        host.destination = line.listing.destination;
+        host.apart = line.listing.kind < config_.settings.kinds.size() && config_.settings.kinds[line.listing.kind].routes_apart;
+        host.ready = line.listing.state == ListingState::ready;
+        pool_.relist(host);
+        listed.lines.push_back(line.listing);
+        listed.lines.back().endpoint = host.id;
+    }
+    return listed;
+}
+
+runtime::Task<void> Cluster::run() {
+    for (;;) {
+        while (auto news = mailbox_.take()) tell_(apply(*news));
+        co_await waker_.wait();
+    }
+}
+
+runtime::Task<void> Cluster::watch() {
+    double pause = first_pause_ms;
+    asked_ = version_;
+    for (;;) {
+        const bool heard = co_await follow();
+        pause = heard ? first_pause_ms : std::min(2 * pause, longest_pause_ms);
+        co_await runtime::sleep_until(scheduler_, scheduler_.now() + pause);
+    }
+}
+
+// One watch, until its connection ends or falls silent. Whether anything was heard on it.
+runtime::Task<bool> Cluster::follow() {
+    runtime::Waker waker(scheduler_);
+    auto socket = runtime::connect_to(scheduler_, discovery_, waker);
+    if (!socket) co_return false;
+    const Time until = scheduler_.now() + dial_ms;
+    auto state = socket->connected();
+    while (state == runtime::Io::blocked && scheduler_.now() < until) {
+        co_await waker.wait(until);
+        state = socket->connected();
+    }
+    if (state != runtime::Io::done) co_return false;
+    const auto request = watch_request(asked_);
+    if (socket->write(request).count != request.size()) co_return false;
+    http::Parser parser(http::Parser::Side::response, watch_limits);
+    bool heard = false;
+    Time last = scheduler_.now();
+    char part[16384];
+    for (;;) {
+        const auto got = socket->read(part, sizeof part);
+        if (got.io == runtime::Io::blocked) {
+            if (scheduler_.now() >= last + silence_ms) co_return heard;
+            co_await waker.wait(last + silence_ms);
+            continue;
+        }
+        if (got.io != runtime::Io::done) co_return heard;
+        last = scheduler_.now();
+        parser.feed({part, got.count});
+        if (parser.has_status() && parser.message().status != 200) co_return heard;
+        heard = take_lines(parser.message().body) || heard;
+        if (parser.complete() || parser.fault() != http::Fault::none) co_return heard;
+    }
+}
+
+bool Cluster::take_lines(std::string& body) {
+    bool heard = false;
+    for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n')) {
+        const std::string line(http::trimmed(std::string_view(body).substr(0, end)));
+        body.erase(0, end + 1);
+        heard = true;
+        if (line.empty() || line == "\r") continue;
+        const auto flat = config::flatten(line);
+        auto news = flat ? read_news(*flat, config_) : std::nullopt;
+        if (!news) {
+            runtime::log("cluster", "a line of the watch cannot be read");
+            continue;
+        }
+        asked_ = news->version;
+        mailbox_.put(std::move(*news));
+    }
+    return heard;
+}
+
+}  // namespace pointlane::cluster
--- /dev/null
+++ b/src/cluster/cluster.hpp
@@ -0,0 +1,59 @@
+// The cluster: discovery's list and the watch that keeps it. The last list is kept while discovery is silent.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "config/config.hpp"
+#include "dispatch/types.hpp"
+#include "runtime/mailbox.hpp"
+#include "runtime/socket.hpp"
+#include "upstream/pool.hpp"
+
+namespace pointlane::cluster {
+
+// One list of discovery's, whole or changes.
+struct News {
+    bool whole = false;
+    std::uint32_t version = 0;
+    struct Line {
+        std::string uid;
+        runtime::Address address;
+        Listing listing;  // its endpoint is filled in by the cluster
+    };
+    std::vector<Line> lines;
+};
+
+// Nothing where the object cannot be read; lines that cannot be read are left out.
+std::optional<News> read_news(const config::Flat& flat, const config::Config& config);
+
+class Cluster {
+public:
+    Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
+            upstream::Pool& pool);
+
+    using Tell = std::function<void(dispatch::Listed)>;
+    void tell_to(Tell tell) { tell_ = std::move(tell); }
+    // Numbers the hosts of a list and passes it to the pool; what the module is to be told.
+    dispatch::Listed apply(const News& news);
+    runtime::Task<void> run();    // the actor
+    runtime::Task<void> watch();  // the connection that feeds it
+    std::uint32_t version() const { return version_; }
+
+private:
+    runtime::Task<bool> follow();
+    bool take_lines(std::string& body);
+
+    runtime::Scheduler& scheduler_;
+    const config::Config& config_;
+    runtime::Address discovery_;
+    upstream::Pool& pool_;
+    runtime::Waker waker_;
+    runtime::Mailbox<News> mailbox_;
+    Tell tell_;
+    std::map<std::string, upstream::HostState> hosts_;  // by uid
+    std::uint32_t version_ = 0, asked_ = 0;
+};
+
+}  // namespace pointlane::cluster
--- /dev/null
+++ b/src/cluster/notices.hpp
@@ -0,0 +1,37 @@
+// Outcome notices: each is sent until the platform has answered 204.
+#pragma once
+
+#include <deque>
+#include <functional>
+
+#include "dispatch/types.hpp"
+#include "http/parser.hpp"
+#include "runtime/mailbox.hpp"
+#include "runtime/socket.hpp"
+
+namespace pointlane::cluster {
+
+class Notices : public dispatch::Outbox {
+public:
+    Notices(runtime::Scheduler& scheduler, runtime::Address discovery)
+        : scheduler_(scheduler), discovery_(discovery), waker_(scheduler), mailbox_(waker_) {}
+
+    using Report = std::function<void(dispatch::Told)>;
+    void report_to(Report report) { report_ = std::move(report); }
+    void tell(dispatch::Notice notice) override { mailbox_.put(std::move(notice)); }
+    bool empty() const { return mailbox_.empty() && waiting_.empty(); }
+    runtime::Task<void> run();
+
+private:
+    runtime::Task<int> post(const std::string& body);  // the status, 0 where none came
+
+    runtime::Scheduler& scheduler_;
+    runtime::Address discovery_;
+    runtime::Waker waker_;
+    runtime::Mailbox<dispatch::Notice> mailbox_;
+    std::deque<dispatch::Notice> waiting_;
+    runtime::Socket socket_;
+    Report report_;
+};
+
+}  // namespace pointlane::cluster
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,36 @@
+// What a dispatcher is told at its start: the environment and the file that PROXY_CONFIG names.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "config/json.hpp"
+#include "pointlane/sender.hpp"
+
+namespace pointlane::config {
+
+class BadConfig : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+struct Config {
+    std::string name, listen, discovery, state_folder;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;
+    double disk_mb = 3;
+    double dial_timeout_ms = 1500, drain_grace_ms = 2000;
+    Settings settings;  // the module's; read by the adapter's reader
+    // Names by their place in the settings, as paths, headers and the list use them.
+    std::vector<std::string> classes, tenants, zones, kinds;
+    Flat known;  // the list as this dispatcher last had it, in discovery's form
+};
+
+// Reads a config's text; throws BadConfig or wire::BadSettings, naming what is wrong.
+Config read_config(const std::string& json);
+// The file and what the environment says beside it.
+Config load_config();
+
+}  // namespace pointlane::config
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,245 @@
+#include "dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "runtime/log.hpp"
+
+namespace pointlane::dispatch {
+namespace {
+
+constexpr double full_pause_ms = 500;  // advice where the holding room or the journal is full
+
+}  // namespace
+
+Dispatcher::Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed,
+                       Ledger& ledger, Upstream& upstream, Outbox& outbox)
+    : scheduler_(scheduler),
+      waker_(scheduler),
+      mailbox_(waker_),
+      settings_(settings),
+      sender_(settings, seed),
+      ledger_(ledger),
+      upstream_(upstream),
+      outbox_(outbox) {}
+
+void Dispatcher::recover(const Listed& known) {
+    now_ = scheduler_.now();
+    wall_offset_ = runtime::wall_now() - runtime::steady_now();
+    on(known);
+    for (auto& [id, m] : ledger_.all()) {
+        if (m.ending != Ending::none) {
+            outbox_.tell({m.id, m.name, m.ending, m.again_ms});
+            continue;
+        }
+        Restored restored;
+        restored.message.id = id;
+        restored.message.message_class = m.message_class;
+        restored.message.tenant = m.tenant;
+        restored.message.destination = m.destination;
+        restored.message.due = m.due_wall - wall_offset_;
+        restored.attempts = m.attempts;
+        restored.may_have_run = m.may_have_run;
+        restored.first_risky = m.risky_wall - wall_offset_;
+        restored.zone = m.risky_zone;
+        tell(restored);
+    }
+    perform();
+}
+
+runtime::Task<void> Dispatcher::run() {
+    const double tick = std::max(1.0, settings_.tick_ms);
+    for (;;) {
+        const Time due = timers_.empty() ? never : timers_.begin()->first;
+        if (mailbox_.empty() && scheduler_.now() < due) {
+            co_await waker_.wait(due);
+            continue;
+        }
+        // As in the simulator, what comes within a tick is one batch, so that its sends can share calls.
+        const Time boundary = std::ceil(scheduler_.now() / tick) * tick;
+        while (scheduler_.now() < boundary) co_await waker_.wait(boundary);
+        turn();
+    }
+}
+
+void Dispatcher::turn() {
+    now_ = scheduler_.now();
+    wall_offset_ = runtime::wall_now() - runtime::steady_now();
+    auto letters = mailbox_.take_all();
+    for (auto& letter : letters) std::visit([this](auto& l) { on(l); }, letter);
+    while (!timers_.empty() && timers_.begin()->first <= now_) {
+        const auto timer = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        tell(TimerFired{timer});
+    }
+    perform();
+}
+
+void Dispatcher::tell(const Event& event) { sender_.handle(now_, event, actions_); }
+
+void Dispatcher::perform() {
+    // Refusals of streams that still wait come first: those are never taken on.
+    const auto actions = std::exchange(actions_, {});
+    for (const auto& action : actions)
+        if (const auto* const refuse = std::get_if<Refuse>(&action); refuse != nullptr) do_action(*refuse);
+    for (const auto& action : actions)
+        if (const auto* const fail = std::get_if<Fail>(&action); fail != nullptr) do_action(*fail);
+    take_on_candidates();
+    for (const auto& action : actions) {
+        if (std::holds_alternative<Refuse>(action) || std::holds_alternative<Fail>(action)) continue;
+        std::visit([this](const auto& a) { do_action(a); }, action);
+    }
+    withdrawn_.clear();
+    for (auto& [host, calls] : calls_)
+        for (auto& call : calls) upstream_.call(std::move(call));
+    calls_.clear();
+    if (!actions_.empty()) perform();  // what withdrawals led to
+}
+
+void Dispatcher::on(Submission& s) {
+    const auto client = s.client.lock();
+    // A client that left before its answer may hand in again under another id: its message never starts.
+    if (!client) return;
+    if (!client->present()) return client->answer({false, true, full_pause_ms, 0});
+    if (ledger_.held() + candidates_.size() >= static_cast<std::size_t>(settings_.max_held))
+        return client->answer({false, true, full_pause_ms, 0});
+    Candidate candidate;
+    auto& m = candidate.message;
+    m.id = ledger_.reserve_id();
+    m.name = std::move(s.name);
+    m.key = std::move(s.key);
+    m.message_class = s.message_class;
+    m.tenant = s.tenant;
+    m.destination = s.destination;
+    m.due_wall = s.due + wall_offset_;
+    m.body = std::move(s.body);
+    candidate.client = s.client;
+    Arrival arrival;
+    arrival.id = m.id;
+    arrival.message_class = m.message_class;
+    arrival.tenant = m.tenant;
+    arrival.due = s.due;
+    arrival.destination = m.destination;
+    candidates_.emplace(arrival.id, std::move(candidate));
+    tell(arrival);
+}
+
+void Dispatcher::take_on_candidates() {
+    for (auto& [id, candidate] : std::exchange(candidates_, {})) {
+        const auto client = candidate.client.lock();
+        if (!client) {
+            withdrawn_.insert(id);
+            tell(Withdrawn{id});
+        } else if (ledger_.take(std::move(candidate.message)) == nullptr) {
+            client->answer({false, true, full_pause_ms, 0});
+            withdrawn_.insert(id);
+            tell(Withdrawn{id});
+        } else {
+            client->answer({true, false, 0, id});
+        }
+    }
+}
+
+// The 202 found no client any more: the message is withdrawn as if it had never been handed in.
+void Dispatcher::on(const Untold& untold) {
+    auto* const m = ledger_.find(untold.id);
+    if (m == nullptr || m->ending != Ending::none) return;
+    ledger_.end(*m, Ending::done, 0);
+    tell(Withdrawn{untold.id});
+}
+
+void Dispatcher::on(const Verdict& v) {
+    if (flying_ > 0) --flying_;
+    Outcome outcome;
+    outcome.id = v.id;
+    outcome.endpoint = v.host;
+    outcome.attempt = v.attempt;
+    outcome.result = v.result;
+    outcome.elapsed_ms = v.elapsed_ms;
+    outcome.wait_ms = v.wait_ms;
+    outcome.report = v.report;
+    outcome.over = true;
+    if (auto* const m = ledger_.find(v.id); m != nullptr) {
+        outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
+        ledger_.outcome(*m, v.result);
+        if (auto* const left = ledger_.find(v.id); left != nullptr && outcome.over) ledger_.end(*left, Ending::done, 0);
+    }
+    tell(outcome);
+}
+
+void Dispatcher::on(const Listed& listed) {
+    for (const auto& line : listed.lines) hosts_[line.endpoint.address] = line;
+    ListUpdate update;
+    update.whole = listed.whole;
+    update.entries = listed.lines;
+    tell(update);
+}
+
+void Dispatcher::on(const Told& told) {
+    for (const auto id : told.ids) ledger_.told(id);
+}
+
+void Dispatcher::on(const Stop& stop) { tell(Stopping{stop.at}); }
+
+void Dispatcher::not_sent(const Attempt& attempt, int number, bool over) {
+    ++flying_;
+    Verdict verdict;
+    verdict.id = attempt.id;
+    verdict.host = attempt.endpoint;
+    verdict.attempt = number;
+    verdict.result = Result::moot;
+    verdict.over = over;
+    mailbox_.put(verdict);
+}
+
+void Dispatcher::do_action(const Attempt& attempt) {
+    auto* const m = ledger_.find(attempt.id);
+    if (m == nullptr || m->ending != Ending::none) return not_sent(attempt, m == nullptr ? 0 : m->attempts, true);
+    const auto host = hosts_.find(attempt.endpoint.address);
+    const int number = m->attempts;
+    const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
+                           number < settings_.max_attempts;
+    if (!permitted || !ledger_.attempt(*m, now_ + wall_offset_, host->second.zone))
+        return not_sent(attempt, number, false);
+    ++flying_;
+    const auto kind = host->second.kind;
+    const auto room = static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
+    auto& calls = calls_[attempt.endpoint];
+    if (calls.empty() || calls.back().parcels.size() >= room) calls.push_back({attempt.endpoint, now_, {}});
+    Parcel parcel;
+    parcel.id = m->id;
+    parcel.name = m->name;
+    parcel.key = m->key;
+    parcel.body = m->body;
+    parcel.attempt = number;
+    parcel.due = m->due_wall - wall_offset_;
+    parcel.expires = attempt.expires > 0 ? attempt.expires : parcel.due;
+    parcel.start_by = attempt.start_by;
+    calls.back().parcels.push_back(std::move(parcel));
+}
+
+void Dispatcher::do_action(const Refuse& refuse) {
+    if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
+        if (const auto client = waiting->second.client.lock()) client->answer({false, false, refuse.pause_ms, 0});
+        candidates_.erase(waiting);
+        return;
+    }
+    if (auto* const m = ledger_.find(refuse.id)) end(*m, Ending::deferred, refuse.pause_ms);
+}
+
+void Dispatcher::do_action(const Fail& fail) {
+    if (auto* const m = ledger_.find(fail.id)) end(*m, Ending::failed, 0);
+}
+
+void Dispatcher::end(Owed& m, Ending ending, double again_ms) {
+    if (m.ending != Ending::none) return;
+    const auto again = static_cast<std::uint32_t>(std::clamp(again_ms, 0.0, 1e6));
+    ledger_.end(m, ending, again);
+    outbox_.tell({m.id, m.name, ending, again});
+}
+
+void Dispatcher::do_action(const SetTimer& timer) { timers_.emplace(timer.at, timer.timer); }
+void Dispatcher::do_action(const Close& close) { upstream_.close_idle(close.endpoint); }
+void Dispatcher::do_action(const Log& log) { runtime::log("module", "%s", log.text.c_str()); }
+
+}  // namespace pointlane::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher.hpp
@@ -0,0 +1,73 @@
+// The module's actor: turns letters into the module's events once a tick and its actions into deeds.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "dispatch/ledger.hpp"
+#include "dispatch/types.hpp"
+#include "runtime/mailbox.hpp"
+
+namespace pointlane::dispatch {
+
+class Dispatcher {
+public:
+    Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed, Ledger& ledger,
+               Upstream& upstream, Outbox& outbox);
+
+    // Tells the module its first list and what an earlier life took on; owed notices are sent again.
+    void recover(const Listed& known);
+    runtime::Task<void> run();
+
+    runtime::Mailbox<Letter>& mailbox() { return mailbox_; }
+    std::size_t flying() const { return flying_; }
+
+private:
+    struct Candidate {  // a stream that the module has seen but that is not answered yet
+        Owed message;
+        std::weak_ptr<Client> client;
+    };
+
+    void turn();
+    void on(Submission& submission);
+    void on(const Untold& untold);
+    void on(const Verdict& verdict);
+    void on(const Listed& listed);
+    void on(const Told& told);
+    void on(const Stop& stop);
+
+    void tell(const Event& event);
+    void perform();
+    void do_action(const Attempt& attempt);
+    void do_action(const Refuse& refuse);
+    void do_action(const Fail& fail);
+    void do_action(const SetTimer& timer);
+    void do_action(const Subscribe&) {}  // the list comes by itself
+    void do_action(const Close& close);
+    void do_action(const Log& log);
+    void take_on_candidates();
+    void end(Owed& message, Ending ending, double again_ms);
+    void not_sent(const Attempt& attempt, int number, bool over);
+
+    runtime::Scheduler& scheduler_;
+    runtime::Waker waker_;
+    runtime::Mailbox<Letter> mailbox_;
+    Settings settings_;
+    Sender sender_;
+    Ledger& ledger_;
+    Upstream& upstream_;
+    Outbox& outbox_;
+    Time now_ = 0;
+    double wall_offset_ = 0;  // wall clock less steady clock
+    std::vector<Action> actions_;
+    std::map<MessageId, Candidate> candidates_;
+    std::set<MessageId> withdrawn_;  // not taken on after the module had seen them; in this turn only
+    std::map<EndpointId, std::deque<Call>> calls_;
+    std::unordered_map<std::uint32_t, Listing> hosts_;
+    std::multimap<Time, std::uint32_t> timers_;
+    std::size_t flying_ = 0;
+};
+
+}  // namespace pointlane::dispatch
--- /dev/null
+++ b/src/dispatch/types.hpp
@@ -0,0 +1,107 @@
+// What passes between the core and its fronts. No protocol is known here.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "pointlane/sender.hpp"
+#include "runtime/scheduler.hpp"
+
+namespace pointlane::dispatch {
+
+using runtime::never;
+
+// The answer to a stream: taken on, or a local reply with the time after which to come again.
+struct Answer {
+    bool taken = false;
+    bool full = false;     // no room, or no journal; else the module's own refusal
+    double pause_ms = 0;
+    MessageId id = 0;      // that it was taken on under
+};
+
+// The client of a stream, as long as it may still be answered.
+class Client {
+public:
+    virtual ~Client() = default;
+    virtual bool present() const = 0;
+    virtual void answer(const Answer& answer) = 0;
+};
+
+struct Submission {
+    std::string name, key;  // the client's id and idempotency key, passed on unchanged
+    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+    Time due = 0;
+    std::shared_ptr<const std::string> body;
+    std::weak_ptr<Client> client;
+};
+
+// The client of a message that was answered could not be told so.
+struct Untold {
+    MessageId id = 0;
+};
+
+struct Parcel {
+    MessageId id = 0;
+    std::string name, key;
+    std::shared_ptr<const std::string> body;
+    int attempt = 0;
+    Time due = 0, expires = 0, start_by = 0;
+};
+
+// Messages that travel together to one upstream host.
+struct Call {
+    EndpointId host;
+    Time decided = 0;
+    std::vector<Parcel> parcels;
+};
+
+struct Verdict {
+    MessageId id = 0;
+    EndpointId host;
+    int attempt = 0;
+    Result result = Result::ok;
+    bool over = false;  // the destination says that nothing more is owed
+    double elapsed_ms = 0, wait_ms = 0;
+    Report report;
+};
+
+struct Listed {
+    bool whole = false;
+    std::vector<Listing> lines;
+};
+
+enum class Ending : std::uint8_t { none, done, failed, deferred };
+struct Notice {
+    MessageId id = 0;
+    std::string name;
+    Ending ending = Ending::none;
+    std::uint32_t again_ms = 0;
+};
+struct Told {
+    std::vector<MessageId> ids;
+};
+
+// The process ends at that time.
+struct Stop {
+    Time at = 0;
+};
+
+using Letter = std::variant<Submission, Untold, Verdict, Listed, Told, Stop>;
+
+// The ports that a front fills.
+class Upstream {
+public:
+    virtual ~Upstream() = default;
+    virtual void call(Call call) = 0;
+    virtual void close_idle(EndpointId host) = 0;
+};
+class Outbox {
+public:
+    virtual ~Outbox() = default;
+    virtual void tell(Notice notice) = 0;
+};
+
+}  // namespace pointlane::dispatch
--- /dev/null
+++ b/src/downstream/server.hpp
@@ -0,0 +1,62 @@
+// The downstream side: clients' connections, an actor each, and the ready page.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <variant>
+
+#include "config/config.hpp"
+#include "dispatch/types.hpp"
+#include "http/parser.hpp"
+#include "runtime/mailbox.hpp"
+#include "runtime/socket.hpp"
+
+namespace pointlane::downstream {
+
+// A stream as its request asks for it, or the status of its local reply.
+using Read = std::variant<dispatch::Submission, int>;
+Read read_stream(http::Message& request, const config::Config& config, Time now);
+
+class Server {
+public:
+    using Submit = std::function<void(dispatch::Submission)>;
+    Server(runtime::Scheduler& scheduler, const config::Config& config, std::size_t most_connections);
+
+    bool listen(runtime::Address address);
+    void submit_to(Submit submit) { submit_ = std::move(submit); }
+    // Told of each message whose 202 could not be written.
+    void untold_to(std::function<void(MessageId)> untold) { untold_ = std::move(untold); }
+    void ready(bool is) { ready_ = is; }
+    runtime::Task<void> run();
+    // From now on every answer says that its connection closes.
+    void wind_down() { winding_down_ = true; }
+    void stop_listening();
+    void close_idle();
+    std::size_t open() const { return connections_.size(); }
+
+private:
+    class Connection;
+    runtime::Task<void> serve(std::shared_ptr<Connection> connection);
+    runtime::Task<bool> answer(std::shared_ptr<Connection> connection, bool& close);
+    std::string page(const http::Message& request, bool close) const;
+    std::string reply(int status, bool close) const;
+    std::string reply(const dispatch::Answer& answer, bool close) const;
+    runtime::Task<bool> read_request(Connection& c);
+    runtime::Task<bool> write_all(Connection& c, std::string text);
+    runtime::Task<void> linger(Connection& c);
+    void take(runtime::Descriptor fd);
+    bool evict_idle();
+
+    runtime::Scheduler& scheduler_;
+    const config::Config& config_;
+    std::size_t most_;
+    runtime::Waker waker_;
+    runtime::Socket listener_;
+    std::list<std::shared_ptr<Connection>> connections_;
+    Submit submit_;
+    std::function<void(MessageId)> untold_;
+    bool ready_ = false, winding_down_ = false;
+};
+
+}  // namespace pointlane::downstream
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,134 @@
+// pointlane: the real dispatcher. Puts the parts together; decides nothing.
+#include <signal.h>
+#include <sys/signalfd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <exception>
+#include <string>
+
+#include "cluster/cluster.hpp"
+#include "cluster/notices.hpp"
+#include "config/config.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "dispatch/ledger.hpp"
+#include "downstream/server.hpp"
+#include "journal/log.hpp"
+#include "runtime/log.hpp"
+#include "runtime/scheduler.hpp"
+#include "upstream/pool.hpp"
+
+namespace {
+
+using namespace pointlane;
+
+// After SIGTERM clients still come for a while and the kill is 3.7 s away at the soonest.
+constexpr double take_on_ms = 600, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
+// The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
+constexpr double disk_share = 0.8;
+
+class Signals {
+public:
+    Signals(runtime::Scheduler& scheduler, runtime::Waker& waker) {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        sigprocmask(SIG_BLOCK, &set, nullptr);
+        signal(SIGPIPE, SIG_IGN);
+        fd_ = runtime::Descriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+        if (!fd_ || scheduler.watch(fd_.get(), waker) == 0) throw std::runtime_error("signals cannot be had");
+    }
+    bool came() const {
+        signalfd_siginfo info;
+        return ::read(fd_.get(), &info, sizeof info) == sizeof info;
+    }
+
+private:
+    runtime::Descriptor fd_;
+};
+
+runtime::Task<void> until_stopped(runtime::Scheduler& scheduler, dispatch::Dispatcher& dispatcher,
+                                  dispatch::Ledger& ledger, cluster::Notices& notices, downstream::Server& server) {
+    runtime::Waker waker(scheduler);
+    const Signals signals(scheduler, waker);
+    while (!signals.came()) co_await waker.wait();
+    const Time told = scheduler.now();
+    runtime::log("main", "told to stop: %zu messages are owed", ledger.held());
+    server.wind_down();
+    dispatcher.mailbox().put(dispatch::Stop{told + last_call_ms});
+    co_await runtime::sleep_until(scheduler, told + take_on_ms);
+    server.stop_listening();
+    const auto done = [&] { return dispatcher.flying() == 0 && ledger.held() == 0 && notices.empty() && server.open() == 0; };
+    while (scheduler.now() < told + leave_ms && !done()) {
+        if (scheduler.now() > told + last_call_ms) server.close_idle();
+        co_await runtime::sleep_until(scheduler, scheduler.now() + poll_ms);
+    }
+    runtime::log("main", "stopped: %zu messages are left to the next start", ledger.held());
+    scheduler.stop();
+}
+
+int serve() {
+    const auto config = config::load_config();
+    const auto listen = runtime::parse_address(config.listen);
+    const auto discovery = runtime::parse_address(config.discovery);
+    if (!listen) throw config::BadConfig("the address to listen on cannot be read");
+    if (!discovery) throw config::BadConfig("the address of discovery cannot be read");
+
+    runtime::Scheduler scheduler;
+    const auto half = static_cast<std::size_t>(config.disk_mb * 1e6 * disk_share / 2);
+    journal::Log log(config.state_folder, half);
+    dispatch::Ledger ledger(log);
+    if (!ledger.recover()) throw std::runtime_error("the journal cannot be opened");
+
+    upstream::PoolSettings limits;
+    limits.dial_timeout_ms = config.dial_timeout_ms;
+    if (config.settings.conn_idle_ms > 0) limits.conn_idle_ms = config.settings.conn_idle_ms;
+    limits.drain_grace_ms = config.drain_grace_ms;
+    limits.most_idle = config.sockets / 4;
+    upstream::Pool pool(scheduler, limits);
+    cluster::Notices notices(scheduler, *discovery);
+    dispatch::Dispatcher dispatcher(scheduler, config.settings, config.seed, ledger, pool, notices);
+    cluster::Cluster cluster(scheduler, config, *discovery, pool);
+    downstream::Server server(scheduler, config, config.sockets / 2);
+
+    auto& core = dispatcher.mailbox();
+    pool.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
+    notices.report_to([&](dispatch::Told told) { core.put(std::move(told)); });
+    cluster.tell_to([&](dispatch::Listed listed) { core.put(std::move(listed)); });
+    server.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
+    server.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
+
+    if (!server.listen(*listen)) throw std::runtime_error("cannot listen on " + config.listen);
+    const auto known = cluster::read_news(config.known, config);
+    dispatcher.recover(known ? cluster.apply(*known) : dispatch::Listed{});
+    scheduler.spawn(dispatcher.run());
+    scheduler.spawn(notices.run());
+    scheduler.spawn(cluster.run());
+    scheduler.spawn(cluster.watch());
+    scheduler.spawn(server.run());
+    scheduler.spawn(until_stopped(scheduler, dispatcher, ledger, notices, server));
+    server.ready(true);
+    runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(), ledger.held());
+    scheduler.run();
+    scheduler.drop_tasks();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    try {
+        cxxopts::Options options("pointlane", "A dispatcher that delivers messages to outside partners");
+        options.add_options()("command", "serve", cxxopts::value<std::string>()->default_value("serve"));
+        options.parse_positional({"command"});
+        const auto given = options.parse(argc, argv);
+        if (given["command"].as<std::string>() == "serve") return serve();
+        std::fprintf(stderr, "%s\n", options.help().c_str());
+        return 2;
+    } catch (const std::exception& fault) {
+        std::fprintf(stderr, "pointlane: %s\n", fault.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/runtime/mailbox.hpp
@@ -0,0 +1,35 @@
+// An actor's mailbox: anyone on the loop's thread puts in, the one actor takes out.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "runtime/scheduler.hpp"
+
+namespace pointlane::runtime {
+
+template <class Letter>
+class Mailbox {
+public:
+    explicit Mailbox(Waker& owner) : owner_(owner) {}
+
+    void put(Letter letter) {
+        letters_.push_back(std::move(letter));
+        owner_.notify();
+    }
+    std::optional<Letter> take() {
+        if (letters_.empty()) return std::nullopt;
+        std::optional<Letter> letter(std::move(letters_.front()));
+        letters_.pop_front();
+        return letter;
+    }
+    std::deque<Letter> take_all() { return std::exchange(letters_, {}); }
+    bool empty() const { return letters_.empty(); }
+
+private:
+    Waker& owner_;
+    std::deque<Letter> letters_;
+};
+
+}  // namespace pointlane::runtime
--- /dev/null
+++ b/src/runtime/scheduler.hpp
@@ -0,0 +1,100 @@
+// One thread, one epoll loop: wakes coroutines when descriptors, mailboxes or the clock have news.
+#pragma once
+
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "runtime/descriptor.hpp"
+#include "runtime/task.hpp"
+
+namespace pointlane::runtime {
+
+using Time = double;  // milliseconds of the steady clock
+constexpr Time never = std::numeric_limits<double>::infinity();
+
+class Scheduler;
+
+// What one actor waits on. Descriptors, mailboxes and timers notify it; a wake may be spurious, so the actor
+// looks at its state again. A notice that comes while nobody waits is kept for the next wait.
+class Waker {
+public:
+    explicit Waker(Scheduler& scheduler) : scheduler_(scheduler) {}
+    ~Waker();
+    Waker(const Waker&) = delete;
+    Waker& operator=(const Waker&) = delete;
+
+    void notify();
+
+    struct Awaiter {
+        Waker& waker;
+        Time until;
+        bool await_ready() const noexcept { return std::exchange(waker.latched_, false); }
+        void await_suspend(std::coroutine_handle<> waiting) { waker.park(waiting, until); }
+        void await_resume() const noexcept {}
+    };
+    Awaiter wait(Time until = never) { return {*this, until}; }
+
+private:
+    friend class Scheduler;
+    void park(std::coroutine_handle<> waiting, Time until);
+    void resume();
+
+    Scheduler& scheduler_;
+    std::coroutine_handle<> waiting_;
+    Time until_ = never;
+    bool latched_ = false, queued_ = false;
+};
+
+class Scheduler {
+public:
+    Scheduler();
+    ~Scheduler();
+    Scheduler(const Scheduler&) = delete;
+    Scheduler& operator=(const Scheduler&) = delete;
+
+    Time now() const { return now_; }
+
+    // Runs a task that nobody awaits; an exception ends that task only.
+    void spawn(Task<void> task);
+
+    void run();  // until stop()
+    void stop() { stopped_ = true; }
+    void drop_tasks();  // while what they refer to is still there
+    void run_until(Time at);
+
+    // Descriptors are told of by number, so that an event for a closed one finds nobody.
+    std::uint64_t watch(int fd, Waker& waker);
+    void rebind(std::uint64_t watch, Waker& waker) { watches_[watch] = &waker; }
+    void unwatch(std::uint64_t watch) { watches_.erase(watch); }
+
+private:
+    friend class Waker;
+    struct Root;
+    static Root host(Scheduler& scheduler, Task<void> task);
+    void turn(Time until);
+    void run_ready();
+    void fire_timers();
+
+    Descriptor epoll_;
+    Time now_ = 0;
+    bool stopped_ = false;
+    std::uint64_t last_watch_ = 0;
+    std::unordered_map<std::uint64_t, Waker*> watches_;
+    std::deque<Waker*> ready_;
+    std::set<std::pair<Time, Waker*>> timers_;
+    std::unordered_set<void*> roots_;
+};
+
+Time steady_now();
+double wall_now();  // milliseconds of the Unix epoch
+
+// A pause that nothing but the clock ends.
+Task<void> sleep_until(Scheduler& scheduler, Time at);
+
+}  // namespace pointlane::runtime
--- /dev/null
+++ b/src/runtime/socket.cpp
@@ -0,0 +1,151 @@
+#include "runtime/socket.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+
+namespace pointlane::runtime {
+namespace {
+
+constexpr int backlog = 511;
+
+sockaddr_in native(Address address) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = address.host;
+    to.sin_port = address.port;
+    return to;
+}
+
+Descriptor make_socket() {
+    Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (fd) {
+        const int on = 1;
+        ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+    return fd;
+}
+
+}  // namespace
+
+std::optional<Address> parse_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) return std::nullopt;
+    in_addr host{};
+    if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &host) != 1) return std::nullopt;
+    const auto digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+    return Address{host.s_addr, htons(port)};
+}
+
+Socket::Socket(Scheduler& scheduler, Descriptor fd, Waker& waker)
+    : scheduler_(&scheduler), fd_(std::move(fd)), watch_(scheduler.watch(fd_.get(), waker)) {}
+
+Socket::Socket(Socket&& other) noexcept
+    : scheduler_(other.scheduler_), fd_(std::move(other.fd_)), watch_(std::exchange(other.watch_, 0)) {}
+
+Socket& Socket::operator=(Socket&& other) noexcept {
+    if (this != &other) {
+        close();
+        scheduler_ = other.scheduler_;
+        fd_ = std::move(other.fd_);
+        watch_ = std::exchange(other.watch_, 0);
+    }
+    return *this;
+}
+
+void Socket::close() {
+    if (watch_ != 0) scheduler_->unwatch(watch_);
+    watch_ = 0;
+    fd_.reset();
+}
+
+Transfer Socket::read(char* into, std::size_t size) {
+    for (;;) {
+        const auto got = ::recv(fd_.get(), into, size, 0);
+        if (got > 0) return {Io::done, static_cast<std::size_t>(got)};
+        if (got == 0) return {Io::ended, 0};
+        if (errno == EINTR) continue;
+        return {errno == EAGAIN ? Io::blocked : Io::failed, 0};
+    }
+}
+
+Transfer Socket::write(std::string_view bytes) {
+    for (;;) {
+        const auto put = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (put >= 0) return {Io::done, static_cast<std::size_t>(put)};
+        if (errno == EINTR) continue;
+        return {errno == EAGAIN ? Io::blocked : Io::failed, 0};
+    }
+}
+
+Io Socket::connected() {
+    pollfd state{fd_.get(), POLLOUT, 0};
+    if (::poll(&state, 1, 0) == 0) return Io::blocked;
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) return Io::failed;
+    return (state.revents & POLLOUT) != 0 && (state.revents & POLLERR) == 0 ? Io::done : Io::failed;
+}
+
+bool Socket::news_of_end() const {
+    char byte;
+    const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+bool Socket::readable() const {
+    char byte;
+    const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+void Socket::end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
+
+std::optional<Socket> listen_on(Scheduler& scheduler, Address address, Waker& waker) {
+    auto fd = make_socket();
+    if (!fd) return std::nullopt;
+    const int on = 1;
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const auto at = native(address);
+    if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) return std::nullopt;
+    if (::listen(fd.get(), backlog) != 0) return std::nullopt;
+    Socket socket(scheduler, std::move(fd), waker);
+    if (!socket) return std::nullopt;
+    return socket;
+}
+
+std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker) {
+    auto fd = make_socket();
+    if (!fd) return std::nullopt;
+    const auto to = native(address);
+    if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS)
+        return std::nullopt;
+    Socket socket(scheduler, std::move(fd), waker);
+    if (!socket) return std::nullopt;
+    return socket;
+}
+
+Accepted accept_from(const Socket& listener, Descriptor& into) {
+    for (;;) {
+        const int fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0) {
+            const int on = 1;
+            ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+            into = Descriptor(fd);
+            return Accepted::one;
+        }
+        if (errno == EINTR || errno == ECONNABORTED) continue;
+        return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM ? Accepted::no_room
+                                                                                         : Accepted::none;
+    }
+}
+
+}  // namespace pointlane::runtime
--- /dev/null
+++ b/src/runtime/socket.hpp
@@ -0,0 +1,63 @@
+// Non-blocking TCP sockets on the loop. Failures are values.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "runtime/scheduler.hpp"
+
+namespace pointlane::runtime {
+
+struct Address {
+    std::uint32_t host = 0;  // network order
+    std::uint16_t port = 0;  // network order
+    auto operator<=>(const Address&) const = default;
+};
+
+// "127.0.0.1:8081"; nothing where it cannot be read.
+std::optional<Address> parse_address(std::string_view text);
+
+enum class Io { done, blocked, ended, failed };
+
+struct Transfer {
+    Io io = Io::failed;
+    std::size_t count = 0;
+};
+
+class Socket {
+public:
+    Socket() = default;
+    Socket(Scheduler& scheduler, Descriptor fd, Waker& waker);
+    Socket(Socket&& other) noexcept;
+    Socket& operator=(Socket&& other) noexcept;
+    ~Socket() { close(); }
+
+    explicit operator bool() const { return static_cast<bool>(fd_) && watch_ != 0; }
+    void rebind(Waker& waker) { scheduler_->rebind(watch_, waker); }
+
+    Transfer read(char* into, std::size_t size);
+    Transfer write(std::string_view bytes);
+    Io connected();          // done, blocked (still on its way) or failed
+    bool news_of_end() const;  // the peer has ended or broken the connection and left nothing to read
+    bool readable() const;     // bytes, an end or a failure wait to be read
+    void end_sending();
+    void close();
+    int fd() const { return fd_.get(); }
+
+private:
+    Scheduler* scheduler_ = nullptr;
+    Descriptor fd_;
+    std::uint64_t watch_ = 0;
+};
+
+// Nothing where no descriptor is left or the address cannot be had.
+std::optional<Socket> listen_on(Scheduler& scheduler, Address address, Waker& waker);
+std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker);
+
+enum class Accepted { one, none, no_room };
+Accepted accept_from(const Socket& listener, Descriptor& into);
+
+}  // namespace pointlane::runtime
--- /dev/null
+++ b/src/upstream/outcome.hpp
@@ -0,0 +1,34 @@
+// The outcome table of the platform's protocol: from how far an attempt came to what the module is told.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/types.hpp"
+#include "http/message.hpp"
+
+namespace pointlane::upstream {
+
+// How far an attempt came when it ended.
+enum class Progress { not_connected, connected, partly_written, fully_written, answered };
+enum class Cause { none, broken, timed_out, not_allowed };  // not_allowed: the rules forbade its first byte
+
+struct Ended {
+    Progress progress = Progress::not_connected;
+    Cause cause = Cause::none;
+    int status = 0;  // of the answer's first line, 0 if none came
+};
+
+struct Fate {
+    Result result = Result::ok;
+    bool over = false;
+    double wait_ms = 0;
+};
+
+// Of one message; headers only where an answer came.
+Fate fate_of(const Ended& ended, const http::Headers& headers);
+// Of each message of a bulk call, in the order of `names`.
+std::vector<Fate> fates_of(const Ended& ended, const http::Message& answer, const std::vector<std::string>& names);
+
+}  // namespace pointlane::upstream
--- /dev/null
+++ b/src/upstream/pool.cpp
@@ -0,0 +1,262 @@
+#include "upstream/pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "http/writer.hpp"
+#include "runtime/log.hpp"
+
+namespace pointlane::upstream {
+namespace {
+
+// A request that crosses the host's own close ends as a reset, which a payment does not survive: idle
+// connections go long before the host's limit.
+constexpr double idle_share = 0.8;
+// A first byte this close to the end of the grace after a drain notice is not written any more.
+constexpr double grace_share = 0.75;
+constexpr double rest_ms = 1000;  // for the rest of an answer whose first line has told all
+constexpr http::Limits answer_limits{16 * 1024, 256 * 1024};
+
+}  // namespace
+
+// One call under way: what has become of it so far, and of each of its messages.
+struct Pool::Flight {
+    Flight(runtime::Scheduler& scheduler, dispatch::Call c)
+        : call(std::move(c)), landed(call.parcels.size(), false), waker(scheduler),
+          parser(http::Parser::Side::response, answer_limits) {}
+    dispatch::Call call;
+    std::vector<bool> landed;
+    runtime::Waker waker;
+    runtime::Socket socket;
+    http::Parser parser;
+    Ended ended;
+    Time expires = 0, start_by = 0;
+    bool bulk() const { return call.parcels.size() > 1; }
+    bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
+};
+
+std::string Pool::request_of(const Flight& flight) const {
+    if (flight.bulk()) {
+        std::string body;
+        for (const auto& parcel : flight.call.parcels) http::add_frame(body, parcel.name, parcel.key, *parcel.body);
+        return http::write_request("POST", "/inbox/bulk", {{"Host", "endpoint"}}, body);
+    }
+    const auto& parcel = flight.call.parcels.front();
+    http::HeaderList headers{{"Host", "endpoint"}, {"Req-Id", parcel.name}};
+    if (!parcel.key.empty()) headers.emplace_back("Idempotency-Key", parcel.key);
+    const auto left = static_cast<long long>(std::ceil(std::max(1.0, parcel.expires - scheduler_.now())));
+    headers.emplace_back("Req-Deadline", std::to_string(left) + 'm');
+    return http::write_request("POST", "/inbox", headers, *parcel.body);
+}
+
+Pool::Host& Pool::host_of(EndpointId id) {
+    auto& host = hosts_[id];
+    if (!host) {
+        host = std::make_unique<Host>(scheduler_);
+        host->state.id = id;
+        scheduler_.spawn(run(*host));
+    }
+    return *host;
+}
+
+void Pool::relist(const HostState& state) { host_of(state.id).mailbox.put(state); }
+void Pool::call(dispatch::Call call) {
+    auto& host = host_of(call.host);
+    host.mailbox.put(std::move(call));
+}
+void Pool::close_idle(EndpointId id) { host_of(id).mailbox.put(CloseIdle{}); }
+
+runtime::Task<void> Pool::run(Host& host) {
+    const double lifetime = idle_share * settings_.conn_idle_ms;
+    for (;;) {
+        while (auto letter = host.mailbox.take()) {
+            if (auto* const call = std::get_if<dispatch::Call>(&*letter)) {
+                scheduler_.spawn(carry(host, std::move(*call)));
+            } else if (std::holds_alternative<CloseIdle>(*letter)) {
+                drop_idle(host, runtime::never);
+            } else {
+                const auto& state = std::get<HostState>(*letter);
+                if (state.address != host.state.address || !state.ready) drop_idle(host, runtime::never);
+                if (!state.ready && host.left_at == runtime::never) host.left_at = scheduler_.now();
+                if (state.ready) host.left_at = runtime::never;
+                host.state = state;
+            }
+        }
+        drop_idle(host, scheduler_.now() - lifetime);
+        co_await host.waker.wait(host.idle.empty() ? runtime::never : host.idle.front().since + lifetime + 1);
+    }
+}
+
+void Pool::drop_idle(Host& host, Time older_than) {
+    const auto before = host.idle.size();
+    std::erase_if(host.idle, [&](const Idle& i) { return i.since <= older_than || i.socket.readable(); });
+    idle_ -= before - host.idle.size();
+}
+
+runtime::Socket Pool::take_idle(Host& host) {
+    drop_idle(host, scheduler_.now() - idle_share * settings_.conn_idle_ms);
+    if (host.idle.empty()) return {};
+    auto socket = std::move(host.idle.back().socket);
+    host.idle.pop_back();
+    --idle_;
+    return socket;
+}
+
+void Pool::give_back(Host& host, runtime::Socket socket) {
+    if (!host.state.ready || idle_ >= settings_.most_idle) return;
+    socket.rebind(host.waker);
+    host.idle.push_back({std::move(socket), scheduler_.now()});
+    ++idle_;
+    host.waker.notify();
+}
+
+Time& Pool::wait_of(Host& host) { return host.state.apart ? host.wait_until : waits_[host.state.destination]; }
+
+void Pool::heed(Host& host, const Fate& fate) {
+    if (fate.wait_ms <= 0) return;
+    auto& wait = wait_of(host);
+    wait = std::max(wait, scheduler_.now() + fate.wait_ms);
+}
+
+runtime::Task<void> Pool::carry(Host& host, dispatch::Call call) {
+    Flight flight(scheduler_, std::move(call));
+    flight.start_by = runtime::never;
+    for (const auto& parcel : flight.call.parcels) {
+        flight.expires = std::max(flight.expires, parcel.expires);
+        if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
+    }
+    co_await exchange(host, flight);
+    const bool answered = flight.ended.progress == Progress::answered;
+    // To give a call up is to close its connection: before the module may send the message again.
+    if (!answered || flight.ended.cause == Cause::broken) flight.socket.close();
+    if (answered) heed(host, fate_of(flight.ended, flight.parser.message().headers));
+    land(flight);
+    if (flight.socket && !flight.parser.complete()) co_await read_answer(flight);
+    if (flight.socket && flight.parser.complete() && flight.parser.message().keeps_alive())
+        give_back(host, std::move(flight.socket));
+}
+
+runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
+    auto& ended = flight.ended;
+    flight.socket = take_idle(host);
+    if (flight.socket) {
+        flight.socket.rebind(flight.waker);
+    } else {
+        auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker);
+        ended.cause = Cause::broken;
+        if (!socket) co_return;
+        flight.socket = std::move(*socket);
+        const Time until = std::min(scheduler_.now() + settings_.dial_timeout_ms, flight.expires);
+        auto state = flight.socket.connected();
+        while (state == runtime::Io::blocked && scheduler_.now() < until) {
+            co_await flight.waker.wait(until);
+            state = flight.socket.connected();
+        }
+        if (state == runtime::Io::blocked) ended.cause = Cause::timed_out;
+        if (state != runtime::Io::done) co_return;
+    }
+    ended.progress = Progress::connected;
+    // The call may have waited for its connection while the list, a told wait or its window moved on.
+    const Time now = scheduler_.now();
+    ended.cause = Cause::not_allowed;
+    if (now > host.left_at + grace_share * settings_.drain_grace_ms || now < wait_of(host) ||
+        now > flight.start_by || now >= flight.expires)
+        co_return;
+    const std::string text = request_of(flight);
+    ended.cause = Cause::none;
+    const bool written = co_await write_all(flight, text);
+    if (!written) co_return;
+    char part[4096];
+    while (!flight.told()) {
+        const auto got = flight.socket.read(part, sizeof part);
+        if (got.io == runtime::Io::done) {
+            const std::string_view bytes(part, got.count);
+            if (flight.parser.feed(bytes) < bytes.size() && flight.parser.complete()) break;
+            if (flight.parser.fault() == http::Fault::none) continue;
+        }
+        if (got.io == runtime::Io::blocked) {
+            land_due(flight);
+            if (scheduler_.now() >= flight.expires) {
+                ended.cause = Cause::timed_out;
+                co_return;
+            }
+            Time until = flight.expires;
+            for (std::size_t i = 0; i < flight.landed.size(); ++i)
+                if (!flight.landed[i]) until = std::min(until, std::max(flight.call.parcels[i].due, scheduler_.now()));
+            co_await flight.waker.wait(until);
+            continue;
+        }
+        flight.parser.end();
+        if (!flight.told()) {
+            // The first line of a single call's answer tells its outcome, whatever becomes of the rest.
+            ended.cause = Cause::broken;
+            if (flight.bulk() || !flight.parser.has_status()) co_return;
+        }
+        break;
+    }
+    ended.progress = Progress::answered;
+    ended.status = flight.parser.message().status;
+}
+
+runtime::Task<bool> Pool::write_all(Flight& flight, const std::string& text) {
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        const auto put = flight.socket.write(rest);
+        if (put.io == runtime::Io::done) {
+            rest.remove_prefix(put.count);
+            flight.ended.progress = rest.empty() ? Progress::fully_written : Progress::partly_written;
+            continue;
+        }
+        flight.ended.cause = put.io == runtime::Io::blocked && scheduler_.now() >= flight.expires ? Cause::timed_out
+                                                                                                  : Cause::broken;
+        if (put.io != runtime::Io::blocked || scheduler_.now() >= flight.expires) co_return false;
+        co_await flight.waker.wait(flight.expires);
+    }
+    flight.ended.cause = Cause::none;
+    co_return true;
+}
+
+// Reads what is left of an answer that is already reported, so that its connection can serve again.
+runtime::Task<void> Pool::read_answer(Flight& flight) {
+    char part[4096];
+    const Time until = scheduler_.now() + rest_ms;
+    while (!flight.parser.complete() && scheduler_.now() < until) {
+        const auto got = flight.socket.read(part, sizeof part);
+        if (got.io == runtime::Io::blocked) {
+            co_await flight.waker.wait(until);
+            continue;
+        }
+        if (got.io != runtime::Io::done) co_return;
+        flight.parser.feed({part, got.count});
+        if (flight.parser.fault() != http::Fault::none) co_return;
+    }
+}
+
+// A message whose time is up while its call is still out: its end cannot wait for the others'.
+void Pool::land_due(Flight& flight) {
+    for (std::size_t i = 0; i < flight.landed.size(); ++i) {
+        const auto& parcel = flight.call.parcels[i];
+        if (flight.landed[i] || scheduler_.now() < parcel.due) continue;
+        flight.landed[i] = true;
+        report_({parcel.id, flight.call.host, parcel.attempt, Result::timeout, false,
+                 scheduler_.now() - flight.call.decided, 0, {}});
+    }
+}
+
+void Pool::land(Flight& flight) {
+    std::vector<std::string> names;
+    for (const auto& parcel : flight.call.parcels) names.push_back(parcel.name);
+    const auto& answer = flight.parser.message();
+    auto fates = flight.bulk() ? fates_of(flight.ended, answer, names)
+                               : std::vector<Fate>{fate_of(flight.ended, answer.headers)};
+    const double elapsed = scheduler_.now() - flight.call.decided;
+    for (std::size_t i = 0; i < fates.size(); ++i) {
+        if (flight.landed[i]) continue;
+        const auto& parcel = flight.call.parcels[i];
+        flight.landed[i] = true;
+        report_({parcel.id, flight.call.host, parcel.attempt, fates[i].result, fates[i].over, elapsed,
+                 fates[i].wait_ms, {}});
+    }
+}
+
+}  // namespace pointlane::upstream
--- /dev/null
+++ b/src/upstream/pool.hpp
@@ -0,0 +1,85 @@
+// The upstream hosts: an actor and a pool of connections for each. One call at a time on a connection.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+#include "dispatch/types.hpp"
+#include "http/parser.hpp"
+#include "runtime/mailbox.hpp"
+#include "runtime/socket.hpp"
+#include "upstream/outcome.hpp"
+
+namespace pointlane::upstream {
+
+struct HostState {
+    EndpointId id;
+    runtime::Address address;
+    std::uint16_t destination = 0;
+    bool apart = false;  // waits bind this host alone, not its whole destination
+    bool ready = false;
+};
+
+struct PoolSettings {
+    double dial_timeout_ms = 1500;
+    double conn_idle_ms = 10000;
+    double drain_grace_ms = 2000;
+    std::size_t most_idle = 200;
+};
+
+class Pool : public dispatch::Upstream {
+public:
+    using Report = std::function<void(dispatch::Verdict)>;
+    Pool(runtime::Scheduler& scheduler, PoolSettings settings) : scheduler_(scheduler), settings_(settings) {}
+
+    void report_to(Report report) { report_ = std::move(report); }
+    void relist(const HostState& state);
+    void call(dispatch::Call call) override;
+    void close_idle(EndpointId host) override;
+    std::size_t idle() const { return idle_; }
+
+private:
+    struct Idle {
+        runtime::Socket socket;
+        Time since = 0;
+    };
+    struct CloseIdle {};
+    using Letter = std::variant<dispatch::Call, CloseIdle, HostState>;
+    struct Host {
+        explicit Host(runtime::Scheduler& scheduler) : waker(scheduler), mailbox(waker) {}
+        runtime::Waker waker;
+        runtime::Mailbox<Letter> mailbox;
+        HostState state;
+        Time left_at = runtime::never;  // since when the list says that it drains or is gone
+        Time wait_until = 0;            // of a host that is a route of its own
+        std::deque<Idle> idle;          // the latest used last
+    };
+    struct Flight;
+
+    std::string request_of(const Flight& flight) const;
+    Host& host_of(EndpointId id);
+    runtime::Task<void> run(Host& host);
+    runtime::Task<void> carry(Host& host, dispatch::Call call);
+    runtime::Task<void> exchange(Host& host, Flight& flight);
+    runtime::Task<bool> write_all(Flight& flight, const std::string& text);
+    runtime::Task<void> read_answer(Flight& flight);
+    void heed(Host& host, const Fate& fate);
+    Time& wait_of(Host& host);
+    runtime::Socket take_idle(Host& host);
+    void give_back(Host& host, runtime::Socket socket);
+    void drop_idle(Host& host, Time older_than);
+    void land_due(Flight& flight);
+    void land(Flight& flight);
+
+    runtime::Scheduler& scheduler_;
+    PoolSettings settings_;
+    Report report_;
+    std::map<EndpointId, std::unique_ptr<Host>> hosts_;
+    std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
+    std::size_t idle_ = 0;
+};
+
+}  // namespace pointlane::upstream
