--- a/include/pointlane/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -1,4 +1,4 @@
-// The interface of pointlane: settings in, events in, actions out. All decisions are in src/choice.cpp.
+// The interface of brasslift: settings in, events in, actions out. All decisions are in src/choice.cpp.
 #pragma once
 
 #include <compare>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace pointlane {
+namespace brasslift {
 
 using Time = double;  // milliseconds on the caller's clock; only differences matter
 using MessageId = std::uint64_t;
@@ -188,4 +188,4 @@
     std::unique_ptr<Choice> choice_;
 };
 
-}  // namespace pointlane
+}  // namespace brasslift
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <cstring>
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 namespace {
 
 enum EventCode : std::uint16_t {
@@ -282,4 +282,4 @@
     return bytes + records_ + tail_;
 }
 
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
--- a/src/adapter/codec.hpp
+++ b/src/adapter/codec.hpp
@@ -9,9 +9,9 @@
 #include <variant>
 #include <vector>
 
-#include "pointlane/sender.hpp"
+#include "brasslift/sender.hpp"
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 
 constexpr std::size_t batch_header_size = 20;
 constexpr std::size_t reply_header_size = 12;
@@ -66,4 +66,4 @@
     std::uint32_t count_ = 0;
 };
 
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using namespace pointlane;
+using namespace brasslift;
 
 class Host {
 public:
@@ -91,7 +91,7 @@
                 return 1;
         }
     } catch (const std::exception& fault) {
-        std::fprintf(stderr, "pointlane_adapter: %s\n", fault.what());
+        std::fprintf(stderr, "brasslift_adapter: %s\n", fault.what());
         return 1;
     }
 }
--- a/src/adapter/settings_text.cpp
+++ b/src/adapter/settings_text.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <map>
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 namespace {
 
 constexpr double most_items = 100000;  // a longer list is not meant
@@ -171,4 +171,4 @@
     return s;
 }
 
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
--- a/src/adapter/settings_text.hpp
+++ b/src/adapter/settings_text.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
-#include "pointlane/sender.hpp"
+#include "brasslift/sender.hpp"
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 
 // Names the key that is missing or out of its domain.
 class BadSettings : public std::runtime_error {
@@ -17,4 +17,4 @@
 
 Settings read_settings(std::string_view text);
 
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,4 +1,4 @@
-// pointlane: every decision, guard and tuned value. The interface is include/pointlane/sender.hpp.
+// brasslift: every decision, guard and tuned value. The interface is include/brasslift/sender.hpp.
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -13,9 +13,9 @@
 #include <unordered_map>
 #include <utility>
 
-#include "pointlane/sender.hpp"
+#include "brasslift/sender.hpp"
 
-namespace pointlane {
+namespace brasslift {
 namespace {
 
 constexpr double never = std::numeric_limits<double>::infinity();
@@ -994,4 +994,4 @@
     choice_->handle(now, event, actions);
 }
 
-}  // namespace pointlane
+}  // namespace brasslift
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -6,7 +6,7 @@
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 
-namespace pointlane::cluster {
+namespace brasslift::cluster {
 namespace {
 
 constexpr double first_pause_ms = 100, longest_pause_ms = 2000;
@@ -48,8 +48,10 @@
         }
         if (address) line.address = *address;
         line.listing.destination = static_cast<std::uint16_t>(group);
-        line.listing.zone = static_cast<std::uint16_t>(std::max(0, place_of(config.zones, config::text_or(flat, at + "az"))));
-        line.listing.kind = static_cast<std::uint8_t>(std::max(0, place_of(config.kinds, config::text_or(flat, at + "model"))));
+        line.listing.zone =
+            static_cast<std::uint16_t>(std::max(0, place_of(config.zones, config::text_or(flat, at + "az"))));
+        line.listing.kind = static_cast<std::uint8_t>(
+            std::max(0, place_of(config.kinds, config::text_or(flat, at + "model"))));
         line.listing.state = state == "Ready"  ? ListingState::ready
                              : state == "Gone" ? ListingState::gone
                                                : ListingState::draining;
@@ -61,7 +63,12 @@
 
 Cluster::Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
                  upstream::Pool& pool)
-    : scheduler_(scheduler), config_(config), discovery_(discovery), pool_(pool), waker_(scheduler), mailbox_(waker_) {}
+    : scheduler_(scheduler),
+      config_(config),
+      discovery_(discovery),
+      pool_(pool),
+      waker_(scheduler),
+      mailbox_(waker_) {}
 
 dispatch::Listed Cluster::apply(const News& news) {
     version_ = news.version;
@@ -69,7 +76,8 @@
     listed.whole = news.whole;
     if (news.whole) {
         for (auto& [uid, host] : hosts_) {
-            const bool named = std::any_of(news.lines.begin(), news.lines.end(), [&](const auto& l) { return l.uid == uid; });
+            const bool named = std::any_of(news.lines.begin(), news.lines.end(),
+                                           [&](const auto& l) { return l.uid == uid; });
             if (named || !host.ready) continue;
             host.ready = false;
             pool_.relist(host);
@@ -81,7 +89,8 @@
         if (fresh) host.id = {static_cast<std::uint32_t>(hosts_.size()), 0};
         if (line.address.port != 0) host.address = line.address;
         host.destination = line.listing.destination;
-        host.apart = line.listing.kind < config_.settings.kinds.size() && config_.settings.kinds[line.listing.kind].routes_apart;
+        host.apart = line.listing.kind < config_.settings.kinds.size() &&
+                     config_.settings.kinds[line.listing.kind].routes_apart;
         host.ready = line.listing.state == ListingState::ready;
         pool_.relist(host);
         listed.lines.push_back(line.listing);
@@ -160,4 +169,4 @@
     return heard;
 }
 
-}  // namespace pointlane::cluster
+}  // namespace brasslift::cluster
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -11,7 +11,7 @@
 #include "runtime/socket.hpp"
 #include "upstream/pool.hpp"
 
-namespace pointlane::cluster {
+namespace brasslift::cluster {
 
 // One list of discovery's, whole or changes.
 struct News {
@@ -56,4 +56,4 @@
     std::uint32_t version_ = 0, asked_ = 0;
 };
 
-}  // namespace pointlane::cluster
+}  // namespace brasslift::cluster
--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -6,7 +6,7 @@
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 
-namespace pointlane::cluster {
+namespace brasslift::cluster {
 namespace {
 
 constexpr std::size_t most_lines = 100;
@@ -43,7 +43,8 @@
         std::string body;
         for (std::size_t i = 0; i < count; ++i) body += line_of(waiting_[i]);
         const int status = co_await post(body);
-        if (status == 400 && count > 1) {  // one of them cannot be read: singly, so that it holds no others up
+        if (status == 400 &&
+            count > 1) {  // one of them cannot be read: singly, so that it holds no others up
             most = 1;
             continue;
         }
@@ -109,4 +110,4 @@
     co_return status;
 }
 
-}  // namespace pointlane::cluster
+}  // namespace brasslift::cluster
--- a/src/cluster/notices.hpp
+++ b/src/cluster/notices.hpp
@@ -9,7 +9,7 @@
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
 
-namespace pointlane::cluster {
+namespace brasslift::cluster {
 
 class Notices : public dispatch::Outbox {
 public:
@@ -34,4 +34,4 @@
     Report report_;
 };
 
-}  // namespace pointlane::cluster
+}  // namespace brasslift::cluster
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,7 +6,7 @@
 
 #include "settings_text.hpp"
 
-namespace pointlane::config {
+namespace brasslift::config {
 namespace {
 
 constexpr std::size_t most_config = 8 * 1024 * 1024;
@@ -82,4 +82,4 @@
     return config;
 }
 
-}  // namespace pointlane::config
+}  // namespace brasslift::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "brasslift/sender.hpp"
 #include "config/json.hpp"
-#include "pointlane/sender.hpp"
 
-namespace pointlane::config {
+namespace brasslift::config {
 
 class BadConfig : public std::runtime_error {
 public:
@@ -33,4 +33,4 @@
 // The file and what the environment says beside it.
 Config load_config();
 
-}  // namespace pointlane::config
+}  // namespace brasslift::config
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 
-namespace pointlane::config {
+namespace brasslift::config {
 namespace {
 
 constexpr int most_depth = 32;
@@ -24,7 +24,8 @@
 
 private:
     void skip() {
-        while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos) ++at_;
+        while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos)
+            ++at_;
     }
     bool take(char c) {
         skip();
@@ -96,7 +97,8 @@
         std::string word(text_.substr(from, at_ - from));
         if (word == "null") return true;
         if (word == "true" || word == "false") return put(path, std::move(word));
-        if (word.empty() || (word[0] != '-' && std::isdigit(static_cast<unsigned char>(word[0])) == 0)) return false;
+        if (word.empty() || (word[0] != '-' && std::isdigit(static_cast<unsigned char>(word[0])) == 0))
+            return false;
         char* end = nullptr;
         const double number = std::strtod(word.c_str(), &end);
         return *end == '\0' && std::isfinite(number) && put(path, std::move(word));
@@ -205,4 +207,4 @@
     return out + '"';
 }
 
-}  // namespace pointlane::config
+}  // namespace brasslift::config
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace pointlane::config {
+namespace brasslift::config {
 
 // Plain lists are comma-joined, with their length under .count too; lists of objects have items under .0, .1
 // and so on. Spaces, commas and line ends inside values turn into '_'; null is left out.
@@ -21,4 +21,4 @@
 // A string as JSON writes it, quotes included.
 std::string quoted(std::string_view text);
 
-}  // namespace pointlane::config
+}  // namespace brasslift::config
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -5,7 +5,7 @@
 
 #include "runtime/log.hpp"
 
-namespace pointlane::dispatch {
+namespace brasslift::dispatch {
 namespace {
 
 constexpr double full_pause_ms = 500;  // advice where the holding room or the journal is full
@@ -162,7 +162,8 @@
     if (auto* const m = ledger_.find(v.id); m != nullptr) {
         outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
         ledger_.outcome(*m, v.result);
-        if (auto* const left = ledger_.find(v.id); left != nullptr && outcome.over) ledger_.end(*left, Ending::done, 0);
+        if (auto* const left = ledger_.find(v.id); left != nullptr && outcome.over)
+            ledger_.end(*left, Ending::done, 0);
     }
     tell(outcome);
 }
@@ -194,7 +195,8 @@
 
 void Dispatcher::do_action(const Attempt& attempt) {
     auto* const m = ledger_.find(attempt.id);
-    if (m == nullptr || m->ending != Ending::none) return not_sent(attempt, m == nullptr ? 0 : m->attempts, true);
+    if (m == nullptr || m->ending != Ending::none)
+        return not_sent(attempt, m == nullptr ? 0 : m->attempts, true);
     const auto host = hosts_.find(attempt.endpoint.address);
     const int number = m->attempts;
     const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
@@ -203,7 +205,8 @@
         return not_sent(attempt, number, false);
     ++flying_;
     const auto kind = host->second.kind;
-    const auto room = static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
+    const auto room =
+        static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
     auto& calls = calls_[attempt.endpoint];
     if (calls.empty() || calls.back().parcels.size() >= room) calls.push_back({attempt.endpoint, now_, {}});
     Parcel parcel;
@@ -220,7 +223,8 @@
 
 void Dispatcher::do_action(const Refuse& refuse) {
     if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
-        if (const auto client = waiting->second.client.lock()) client->answer({false, false, refuse.pause_ms, 0});
+        if (const auto client = waiting->second.client.lock())
+            client->answer({false, false, refuse.pause_ms, 0});
         candidates_.erase(waiting);
         return;
     }
@@ -242,4 +246,4 @@
 void Dispatcher::do_action(const Close& close) { upstream_.close_idle(close.endpoint); }
 void Dispatcher::do_action(const Log& log) { runtime::log("module", "%s", log.text.c_str()); }
 
-}  // namespace pointlane::dispatch
+}  // namespace brasslift::dispatch
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -10,7 +10,7 @@
 #include "dispatch/types.hpp"
 #include "runtime/mailbox.hpp"
 
-namespace pointlane::dispatch {
+namespace brasslift::dispatch {
 
 class Dispatcher {
 public:
@@ -70,4 +70,4 @@
     std::size_t flying_ = 0;
 };
 
-}  // namespace pointlane::dispatch
+}  // namespace brasslift::dispatch
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -5,7 +5,7 @@
 
 #include "runtime/log.hpp"
 
-namespace pointlane::dispatch {
+namespace brasslift::dispatch {
 namespace {
 
 // Of the log's half, what messages may fill; the rest is for their attempts, outcomes and ends.
@@ -281,4 +281,4 @@
     messages_.erase(found);
 }
 
-}  // namespace pointlane::dispatch
+}  // namespace brasslift::dispatch
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -8,7 +8,7 @@
 #include "dispatch/types.hpp"
 #include "journal/log.hpp"
 
-namespace pointlane::dispatch {
+namespace brasslift::dispatch {
 
 struct Owed {
     MessageId id = 0;
@@ -61,4 +61,4 @@
     MessageId last_id_ = 0;
 };
 
-}  // namespace pointlane::dispatch
+}  // namespace brasslift::dispatch
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -7,19 +7,19 @@
 #include <variant>
 #include <vector>
 
-#include "pointlane/sender.hpp"
+#include "brasslift/sender.hpp"
 #include "runtime/scheduler.hpp"
 
-namespace pointlane::dispatch {
+namespace brasslift::dispatch {
 
 using runtime::never;
 
 // The answer to a stream: taken on, or a local reply with the time after which to come again.
 struct Answer {
     bool taken = false;
-    bool full = false;     // no room, or no journal; else the module's own refusal
+    bool full = false;  // no room, or no journal; else the module's own refusal
     double pause_ms = 0;
-    MessageId id = 0;      // that it was taken on under
+    MessageId id = 0;  // that it was taken on under
 };
 
 // The client of a stream, as long as it may still be answered.
@@ -104,4 +104,4 @@
     virtual void tell(Notice notice) = 0;
 };
 
-}  // namespace pointlane::dispatch
+}  // namespace brasslift::dispatch
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -8,10 +8,11 @@
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 
-namespace pointlane::downstream {
+namespace brasslift::downstream {
 namespace {
 
-constexpr double request_ms = 10000, write_ms = 5000, linger_ms = 300;  // no peer holds a connection for nothing
+constexpr double request_ms = 10000, write_ms = 5000,
+                 linger_ms = 300;  // no peer holds a connection for nothing
 constexpr double accept_pause_ms = 20;
 constexpr std::size_t most_name = 128, most_linger = 256 * 1024;
 constexpr double most_deadline_ms = 24 * 3600 * 1000.0;
@@ -26,7 +27,8 @@
     if (text.size() < 2) return -1;
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size() - 1, value);
-    if (error != std::errc{} || end != text.data() + text.size() - 1 || !std::isfinite(value) || value < 0) return -1;
+    if (error != std::errc{} || end != text.data() + text.size() - 1 || !std::isfinite(value) || value < 0)
+        return -1;
     if (text.back() == 'm') return std::min(value, most_deadline_ms);
     return text.back() == 'u' ? std::min(value / 1000, most_deadline_ms) : -1;
 }
@@ -68,8 +70,9 @@
     if (message_class < 0) return 404;
     if (request.method != "POST") return 405;
     const auto& h = request.headers;
-    const auto *const id = h.find("Req-Id"), *const owner = h.find("Req-Owner"), *const deadline = h.find("Req-Deadline"),
-                     *const addressing = h.find("X-Addressing"), *const key = h.find("Idempotency-Key");
+    const auto *const id = h.find("Req-Id"), *const owner = h.find("Req-Owner"),
+                      *const deadline = h.find("Req-Deadline"), *const addressing = h.find("X-Addressing"),
+                      *const key = h.find("Idempotency-Key");
     if (id == nullptr || !is_name(*id) || deadline == nullptr || addressing == nullptr) return 400;
     const int tenant = owner == nullptr ? -1 : place_of(config.tenants, *owner);
     if (!config.tenants.empty() && tenant < 0) return 400;
@@ -92,7 +95,9 @@
 class Server::Connection : public dispatch::Client {
 public:
     Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd)
-        : waker(scheduler), mailbox(waker), socket(scheduler, std::move(fd), waker),
+        : waker(scheduler),
+          mailbox(waker),
+          socket(scheduler, std::move(fd), waker),
           parser(http::Parser::Side::request) {}
     // Whoever has ended its sending before it was answered may hand the message in elsewhere at once.
     bool present() const override { return socket && !socket.news_of_end(); }
@@ -102,7 +107,7 @@
     runtime::Mailbox<dispatch::Answer> mailbox;
     runtime::Socket socket;
     http::Parser parser;
-    std::string unread;      // bytes behind the present request
+    std::string unread;  // bytes behind the present request
     Time idle_since = 0;
     bool busy = false, evicted = false;
 };
@@ -130,8 +135,10 @@
             case runtime::Accepted::no_room:
                 // Out of descriptors: an idle client makes room, else the queue waits a moment.
                 runtime::log("downstream", "no descriptor is left for a connection");
-                if (!evict_idle()) co_await runtime::sleep_until(scheduler_, scheduler_.now() + accept_pause_ms);
-                else co_await runtime::sleep_until(scheduler_, scheduler_.now() + 1);
+                if (!evict_idle())
+                    co_await runtime::sleep_until(scheduler_, scheduler_.now() + accept_pause_ms);
+                else
+                    co_await runtime::sleep_until(scheduler_, scheduler_.now() + 1);
                 break;
         }
     }
@@ -142,7 +149,8 @@
     auto connection = std::make_shared<Connection>(scheduler_, std::move(fd));
     if (!connection->socket) return;
     if (connections_.size() >= most_ + 16) {
-        connection->socket.write(http::write_response(503, {{"Retry-After", "0.5"}, {"Connection", "close"}}, ""));
+        connection->socket.write(
+            http::write_response(503, {{"Retry-After", "0.5"}, {"Connection", "close"}}, ""));
         return;
     }
     connection->idle_since = scheduler_.now();
@@ -153,7 +161,8 @@
 bool Server::evict_idle() {
     Connection* oldest = nullptr;
     for (const auto& c : connections_)
-        if (!c->busy && !c->evicted && (oldest == nullptr || c->idle_since < oldest->idle_since)) oldest = c.get();
+        if (!c->busy && !c->evicted && (oldest == nullptr || c->idle_since < oldest->idle_since))
+            oldest = c.get();
     if (oldest == nullptr) return false;
     oldest->evicted = true;
     oldest->waker.notify();
@@ -217,7 +226,8 @@
     close = !request.keeps_alive() || winding_down_;
     if (request.target == "/up") co_return co_await write_all(c, page(request, close));
     auto read = read_stream(request, config_, scheduler_.now());
-    if (const int* const status = std::get_if<int>(&read)) co_return co_await write_all(c, reply(*status, close));
+    if (const int* const status = std::get_if<int>(&read))
+        co_return co_await write_all(c, reply(*status, close));
     auto& submission = std::get<dispatch::Submission>(read);
     submission.client = connection;
     submit_(std::move(submission));
@@ -246,7 +256,8 @@
         if (c.parser.complete()) co_return true;
         if (c.parser.fault() != http::Fault::none) co_return false;
         if (c.parser.started() && until == runtime::never) until = scheduler_.now() + request_ms;
-        if (c.parser.head_done() && !invited && c.parser.message().headers.has_token("expect", "100-continue")) {
+        if (c.parser.head_done() && !invited &&
+            c.parser.message().headers.has_token("expect", "100-continue")) {
             invited = true;
             c.socket.write("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -298,4 +309,4 @@
     }
 }
 
-}  // namespace pointlane::downstream
+}  // namespace brasslift::downstream
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -12,7 +12,7 @@
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
 
-namespace pointlane::downstream {
+namespace brasslift::downstream {
 
 // A stream as its request asks for it, or the status of its local reply.
 using Read = std::variant<dispatch::Submission, int>;
@@ -59,4 +59,4 @@
     bool ready_ = false, winding_down_ = false;
 };
 
-}  // namespace pointlane::downstream
+}  // namespace brasslift::downstream
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace pointlane::http {
+namespace brasslift::http {
 
 struct Limits {
     std::size_t head = 16 * 1024;
@@ -16,9 +16,7 @@
 
 class Headers {
 public:
-    void add(std::string name, std::string value) {
-        lines_.emplace_back(std::move(name), std::move(value));
-    }
+    void add(std::string name, std::string value) { lines_.emplace_back(std::move(name), std::move(value)); }
     // The first of that name, whatever its case; nullptr if there is none.
     const std::string* find(std::string_view name) const;
     std::size_t count(std::string_view name) const;
@@ -47,4 +45,4 @@
 bool same_name(std::string_view a, std::string_view b);
 std::string_view trimmed(std::string_view text);
 
-}  // namespace pointlane::http
+}  // namespace brasslift::http
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -1,10 +1,10 @@
 #include "http/parser.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 
-namespace pointlane::http {
+namespace brasslift::http {
 namespace {
 
 constexpr std::size_t most_headers = 100;
@@ -30,9 +30,9 @@
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b) {
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
-               return std::tolower(x) == std::tolower(y);
-           });
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(),
+                      [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 std::string_view trimmed(std::string_view text) {
@@ -48,8 +48,8 @@
 }
 
 std::size_t Headers::count(std::string_view name) const {
-    return static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(),
-                                                  [&](const auto& line) { return same_name(line.first, name); }));
+    return static_cast<std::size_t>(std::count_if(
+        lines_.begin(), lines_.end(), [&](const auto& line) { return same_name(line.first, name); }));
 }
 
 bool Headers::has_token(std::string_view name, std::string_view token) const {
@@ -103,10 +103,10 @@
     const auto given = bytes.size();
     while (!bytes.empty() && phase_ != Phase::complete && phase_ != Phase::failed) {
         if (phase_ == Phase::sized || phase_ == Phase::chunk || phase_ == Phase::to_end) {
-            const auto part = phase_ == Phase::to_end
-                                  ? bytes
-                                  : bytes.substr(0, static_cast<std::size_t>(
-                                                        std::min<std::uint64_t>(left_, bytes.size())));
+            const auto part =
+                phase_ == Phase::to_end
+                    ? bytes
+                    : bytes.substr(0, static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size())));
             bytes.remove_prefix(part.size());
             left_ -= phase_ == Phase::to_end ? 0 : part.size();
             add_body(part);
@@ -185,7 +185,8 @@
     if (colon == std::string::npos || !is_token(std::string_view(line).substr(0, colon)) || has_control(line))
         return fail(Fault::malformed);
     if (message_.headers.size() >= most_headers) return fail(Fault::head_too_large);
-    message_.headers.add(line.substr(0, colon), std::string(trimmed(std::string_view(line).substr(colon + 1))));
+    message_.headers.add(line.substr(0, colon),
+                         std::string(trimmed(std::string_view(line).substr(colon + 1))));
 }
 
 void Parser::on_head() {
@@ -204,7 +205,8 @@
             return fail(Fault::unsupported);
         phase_ = Phase::chunk_size;
     } else if (length != nullptr) {
-        if (headers.count("content-length") > 1 || !read_size(*length, 10, left_)) return fail(Fault::malformed);
+        if (headers.count("content-length") > 1 || !read_size(*length, 10, left_))
+            return fail(Fault::malformed);
         if (left_ > limits_.body) return fail(Fault::body_too_large);
         phase_ = left_ == 0 ? Phase::complete : Phase::sized;
     } else if (side_ == Side::request || message_.status == 204 || message_.status == 304) {
@@ -237,4 +239,4 @@
     return message;
 }
 
-}  // namespace pointlane::http
+}  // namespace brasslift::http
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -5,7 +5,7 @@
 
 #include "http/message.hpp"
 
-namespace pointlane::http {
+namespace brasslift::http {
 
 // What a message that cannot be taken deserves; `none` while all is well.
 enum class Fault { none, malformed, head_too_large, body_too_large, unsupported, version };
@@ -32,7 +32,18 @@
     Message take();  // of a complete message; the parser is ready for the next
 
 private:
-    enum class Phase { start, headers, sized, chunk_size, chunk, chunk_end, trailers, to_end, complete, failed };
+    enum class Phase {
+        start,
+        headers,
+        sized,
+        chunk_size,
+        chunk,
+        chunk_end,
+        trailers,
+        to_end,
+        complete,
+        failed
+    };
     bool take_line(std::string_view& bytes, std::string& line);
     void on_line(const std::string& line);
     void on_start(const std::string& line);
@@ -52,4 +63,4 @@
     std::uint64_t left_ = 0;
 };
 
-}  // namespace pointlane::http
+}  // namespace brasslift::http
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -1,6 +1,6 @@
 #include "http/writer.hpp"
 
-namespace pointlane::http {
+namespace brasslift::http {
 namespace {
 
 std::string_view reason(int status) {
@@ -77,4 +77,4 @@
     return endings;
 }
 
-}  // namespace pointlane::http
+}  // namespace brasslift::http
--- a/src/http/writer.hpp
+++ b/src/http/writer.hpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace pointlane::http {
+namespace brasslift::http {
 
 using HeaderList = std::vector<std::pair<std::string_view, std::string>>;
 
@@ -22,4 +22,4 @@
 // The answer to a bulk call: id and ending, a line each; nothing where a line cannot be read.
 std::optional<std::vector<std::pair<std::string, std::string>>> read_endings(std::string_view body);
 
-}  // namespace pointlane::http
+}  // namespace brasslift::http
--- a/src/journal/log.cpp
+++ b/src/journal/log.cpp
@@ -16,7 +16,7 @@
 
 #include "runtime/log.hpp"
 
-namespace pointlane::journal {
+namespace brasslift::journal {
 namespace {
 
 namespace fs = std::filesystem;
@@ -25,8 +25,8 @@
 constexpr std::size_t most_record = 1 << 20;
 
 std::uint32_t checksum(std::string_view bytes) {
-    return static_cast<std::uint32_t>(::crc32(0, reinterpret_cast<const Bytef*>(bytes.data()),
-                                              static_cast<uInt>(bytes.size())));
+    return static_cast<std::uint32_t>(
+        ::crc32(0, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
 }
 
 std::string frame(std::string_view record) {
@@ -52,7 +52,8 @@
         const auto name = entry.path().filename().string();
         std::uint64_t number = 0;
         if (!name.starts_with(prefix)) continue;
-        const auto [end, bad] = std::from_chars(name.data() + prefix.size(), name.data() + name.size(), number);
+        const auto [end, bad] =
+            std::from_chars(name.data() + prefix.size(), name.data() + name.size(), number);
         if (bad == std::errc{} && end == name.data() + name.size()) numbers.push_back(number);
     }
     std::sort(numbers.rbegin(), numbers.rend());
@@ -90,7 +91,9 @@
 
 }  // namespace
 
-std::string Log::path(std::uint64_t number) const { return folder_ + '/' + std::string(prefix) + std::to_string(number); }
+std::string Log::path(std::uint64_t number) const {
+    return folder_ + '/' + std::string(prefix) + std::to_string(number);
+}
 
 bool Log::inspect(const std::string& folder, const Replay& replay) {
     for (const auto number : numbers_in(folder)) {
@@ -146,8 +149,7 @@
     const auto next = path(number_ + 1), copy = next + ".part";
     std::string text(magic);
     for (const auto& record : records) text += frame(record);
-    runtime::Descriptor file(
-        ::open(copy.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+    runtime::Descriptor file(::open(copy.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
     if (!file || !write_all(file.get(), text) || ::rename(copy.c_str(), next.c_str()) != 0) {
         runtime::log("journal", "the log could not be rewritten: %s", std::strerror(errno));
         ::unlink(copy.c_str());
@@ -161,4 +163,4 @@
     return true;
 }
 
-}  // namespace pointlane::journal
+}  // namespace brasslift::journal
--- a/src/journal/log.hpp
+++ b/src/journal/log.hpp
@@ -9,7 +9,7 @@
 
 #include "runtime/descriptor.hpp"
 
-namespace pointlane::journal {
+namespace brasslift::journal {
 
 class Log {
 public:
@@ -43,4 +43,4 @@
     bool broken_ = false;
 };
 
-}  // namespace pointlane::journal
+}  // namespace brasslift::journal
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,4 @@
-// pointlane: the real dispatcher. Puts the parts together; decides nothing.
+// brasslift: the real dispatcher. Puts the parts together; decides nothing.
 #include <signal.h>
 #include <sys/signalfd.h>
 
@@ -21,7 +21,7 @@
 
 namespace {
 
-using namespace pointlane;
+using namespace brasslift;
 
 // After SIGTERM clients still come for a while and the kill is 3.7 s away at the soonest.
 constexpr double take_on_ms = 600, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
@@ -50,7 +50,8 @@
 };
 
 runtime::Task<void> until_stopped(runtime::Scheduler& scheduler, dispatch::Dispatcher& dispatcher,
-                                  dispatch::Ledger& ledger, cluster::Notices& notices, downstream::Server& server) {
+                                  dispatch::Ledger& ledger, cluster::Notices& notices,
+                                  downstream::Server& server) {
     runtime::Waker waker(scheduler);
     const Signals signals(scheduler, waker);
     while (!signals.came()) co_await waker.wait();
@@ -60,7 +61,9 @@
     dispatcher.mailbox().put(dispatch::Stop{told + last_call_ms});
     co_await runtime::sleep_until(scheduler, told + take_on_ms);
     server.stop_listening();
-    const auto done = [&] { return dispatcher.flying() == 0 && ledger.held() == 0 && notices.empty() && server.open() == 0; };
+    const auto done = [&] {
+        return dispatcher.flying() == 0 && ledger.held() == 0 && notices.empty() && server.open() == 0;
+    };
     while (scheduler.now() < told + leave_ms && !done()) {
         if (scheduler.now() > told + last_call_ms) server.close_idle();
         co_await runtime::sleep_until(scheduler, scheduler.now() + poll_ms);
@@ -110,7 +113,8 @@
     scheduler.spawn(server.run());
     scheduler.spawn(until_stopped(scheduler, dispatcher, ledger, notices, server));
     server.ready(true);
-    runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(), ledger.held());
+    runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(),
+                 ledger.held());
     scheduler.run();
     scheduler.drop_tasks();
     return 0;
@@ -120,7 +124,7 @@
 
 int main(int argc, char** argv) {
     try {
-        cxxopts::Options options("pointlane", "A dispatcher that delivers messages to outside partners");
+        cxxopts::Options options("brasslift", "A dispatcher that delivers messages to outside partners");
         options.add_options()("command", "serve", cxxopts::value<std::string>()->default_value("serve"));
         options.parse_positional({"command"});
         const auto given = options.parse(argc, argv);
@@ -128,7 +132,7 @@
         std::fprintf(stderr, "%s\n", options.help().c_str());
         return 2;
     } catch (const std::exception& fault) {
-        std::fprintf(stderr, "pointlane: %s\n", fault.what());
+        std::fprintf(stderr, "brasslift: %s\n", fault.what());
         return 1;
     }
 }
--- a/src/runtime/descriptor.hpp
+++ b/src/runtime/descriptor.hpp
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 class Descriptor {
 public:
@@ -32,4 +32,4 @@
     int fd_ = -1;
 };
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <ctime>
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 namespace {
 
 constexpr int lines_per_second = 50;  // a failing partner must not fill the log or take the core
@@ -32,4 +32,4 @@
     std::fprintf(stderr, "%lld %s: %s\n", static_cast<long long>(now), part, text);
 }
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -1,8 +1,8 @@
 // The one way to the log: standard error through fprintf, so many lines a second and no more.
 #pragma once
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 [[gnu::format(printf, 2, 3)]] void log(const char* part, const char* format, ...);
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/mailbox.hpp
+++ b/src/runtime/mailbox.hpp
@@ -7,7 +7,7 @@
 
 #include "runtime/scheduler.hpp"
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 template <class Letter>
 class Mailbox {
@@ -32,4 +32,4 @@
     std::deque<Letter> letters_;
 };
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -12,7 +12,7 @@
 
 #include "runtime/log.hpp"
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 Time steady_now() {
     using namespace std::chrono;
@@ -147,4 +147,4 @@
     while (scheduler.now() < at) co_await waker.wait(at);
 }
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/scheduler.hpp
+++ b/src/runtime/scheduler.hpp
@@ -13,7 +13,7 @@
 #include "runtime/descriptor.hpp"
 #include "runtime/task.hpp"
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 using Time = double;  // milliseconds of the steady clock
 constexpr Time never = std::numeric_limits<double>::infinity();
@@ -97,4 +97,4 @@
 // A pause that nothing but the clock ends.
 Task<void> sleep_until(Scheduler& scheduler, Time at);
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <charconv>
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 namespace {
 
 constexpr int backlog = 511;
@@ -148,4 +148,4 @@
     }
 }
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -9,7 +9,7 @@
 
 #include "runtime/scheduler.hpp"
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 struct Address {
     std::uint32_t host = 0;  // network order
@@ -40,7 +40,7 @@
 
     Transfer read(char* into, std::size_t size);
     Transfer write(std::string_view bytes);
-    Io connected();          // done, blocked (still on its way) or failed
+    Io connected();            // done, blocked (still on its way) or failed
     bool news_of_end() const;  // the peer has ended or broken the connection and left nothing to read
     bool readable() const;     // bytes, an end or a failure wait to be read
     void end_sending();
@@ -60,4 +60,4 @@
 enum class Accepted { one, none, no_room };
 Accepted accept_from(const Socket& listener, Descriptor& into);
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/runtime/task.hpp
+++ b/src/runtime/task.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <utility>
 
-namespace pointlane::runtime {
+namespace brasslift::runtime {
 
 template <class T>
 class Task;
@@ -85,4 +85,4 @@
 }
 }  // namespace detail
 
-}  // namespace pointlane::runtime
+}  // namespace brasslift::runtime
--- a/src/upstream/outcome.cpp
+++ b/src/upstream/outcome.cpp
@@ -7,7 +7,7 @@
 
 #include "http/writer.hpp"
 
-namespace pointlane::upstream {
+namespace brasslift::upstream {
 namespace {
 
 constexpr double most_wait_ms = 600000;
@@ -76,4 +76,4 @@
     return fates;
 }
 
-}  // namespace pointlane::upstream
+}  // namespace brasslift::upstream
--- a/src/upstream/outcome.hpp
+++ b/src/upstream/outcome.hpp
@@ -8,7 +8,7 @@
 #include "dispatch/types.hpp"
 #include "http/message.hpp"
 
-namespace pointlane::upstream {
+namespace brasslift::upstream {
 
 // How far an attempt came when it ended.
 enum class Progress { not_connected, connected, partly_written, fully_written, answered };
@@ -29,6 +29,7 @@
 // Of one message; headers only where an answer came.
 Fate fate_of(const Ended& ended, const http::Headers& headers);
 // Of each message of a bulk call, in the order of `names`.
-std::vector<Fate> fates_of(const Ended& ended, const http::Message& answer, const std::vector<std::string>& names);
+std::vector<Fate> fates_of(const Ended& ended, const http::Message& answer,
+                           const std::vector<std::string>& names);
 
-}  // namespace pointlane::upstream
+}  // namespace brasslift::upstream
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -6,7 +6,7 @@
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 
-namespace pointlane::upstream {
+namespace brasslift::upstream {
 namespace {
 
 // A request that crosses the host's own close ends as a reset, which a payment does not survive: idle
@@ -22,7 +22,9 @@
 // One call under way: what has become of it so far, and of each of its messages.
 struct Pool::Flight {
     Flight(runtime::Scheduler& scheduler, dispatch::Call c)
-        : call(std::move(c)), landed(call.parcels.size(), false), waker(scheduler),
+        : call(std::move(c)),
+          landed(call.parcels.size(), false),
+          waker(scheduler),
           parser(http::Parser::Side::response, answer_limits) {}
     dispatch::Call call;
     std::vector<bool> landed;
@@ -38,7 +40,8 @@
 std::string Pool::request_of(const Flight& flight) const {
     if (flight.bulk()) {
         std::string body;
-        for (const auto& parcel : flight.call.parcels) http::add_frame(body, parcel.name, parcel.key, *parcel.body);
+        for (const auto& parcel : flight.call.parcels)
+            http::add_frame(body, parcel.name, parcel.key, *parcel.body);
         return http::write_request("POST", "/inbox/bulk", {{"Host", "endpoint"}}, body);
     }
     const auto& parcel = flight.call.parcels.front();
@@ -110,7 +113,9 @@
     host.waker.notify();
 }
 
-Time& Pool::wait_of(Host& host) { return host.state.apart ? host.wait_until : waits_[host.state.destination]; }
+Time& Pool::wait_of(Host& host) {
+    return host.state.apart ? host.wait_until : waits_[host.state.destination];
+}
 
 void Pool::heed(Host& host, const Fate& fate) {
     if (fate.wait_ms <= 0) return;
@@ -182,7 +187,8 @@
             }
             Time until = flight.expires;
             for (std::size_t i = 0; i < flight.landed.size(); ++i)
-                if (!flight.landed[i]) until = std::min(until, std::max(flight.call.parcels[i].due, scheduler_.now()));
+                if (!flight.landed[i])
+                    until = std::min(until, std::max(flight.call.parcels[i].due, scheduler_.now()));
             co_await flight.waker.wait(until);
             continue;
         }
@@ -207,8 +213,9 @@
             flight.ended.progress = rest.empty() ? Progress::fully_written : Progress::partly_written;
             continue;
         }
-        flight.ended.cause = put.io == runtime::Io::blocked && scheduler_.now() >= flight.expires ? Cause::timed_out
-                                                                                                  : Cause::broken;
+        flight.ended.cause = put.io == runtime::Io::blocked && scheduler_.now() >= flight.expires
+                                 ? Cause::timed_out
+                                 : Cause::broken;
         if (put.io != runtime::Io::blocked || scheduler_.now() >= flight.expires) co_return false;
         co_await flight.waker.wait(flight.expires);
     }
@@ -238,8 +245,14 @@
         const auto& parcel = flight.call.parcels[i];
         if (flight.landed[i] || scheduler_.now() < parcel.due) continue;
         flight.landed[i] = true;
-        report_({parcel.id, flight.call.host, parcel.attempt, Result::timeout, false,
-                 scheduler_.now() - flight.call.decided, 0, {}});
+        report_({parcel.id,
+                 flight.call.host,
+                 parcel.attempt,
+                 Result::timeout,
+                 false,
+                 scheduler_.now() - flight.call.decided,
+                 0,
+                 {}});
     }
 }
 
@@ -254,9 +267,15 @@
         if (flight.landed[i]) continue;
         const auto& parcel = flight.call.parcels[i];
         flight.landed[i] = true;
-        report_({parcel.id, flight.call.host, parcel.attempt, fates[i].result, fates[i].over, elapsed,
-                 fates[i].wait_ms, {}});
+        report_({parcel.id,
+                 flight.call.host,
+                 parcel.attempt,
+                 fates[i].result,
+                 fates[i].over,
+                 elapsed,
+                 fates[i].wait_ms,
+                 {}});
     }
 }
 
-}  // namespace pointlane::upstream
+}  // namespace brasslift::upstream
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -13,7 +13,7 @@
 #include "runtime/socket.hpp"
 #include "upstream/outcome.hpp"
 
-namespace pointlane::upstream {
+namespace brasslift::upstream {
 
 struct HostState {
     EndpointId id;
@@ -82,4 +82,4 @@
     std::size_t idle_ = 0;
 };
 
-}  // namespace pointlane::upstream
+}  // namespace brasslift::upstream
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <cstring>
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 namespace {
 
 template <class T>
@@ -154,4 +154,4 @@
 }
 
 }  // namespace
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
--- a/tests/contract_test.cpp
+++ b/tests/contract_test.cpp
@@ -8,7 +8,7 @@
 
 #include "rig.hpp"
 
-namespace pointlane::test {
+namespace brasslift::test {
 namespace {
 
 constexpr double weight = 20;  // calls a second that each destination takes
@@ -226,4 +226,4 @@
 }
 
 }  // namespace
-}  // namespace pointlane::test
+}  // namespace brasslift::test
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -4,9 +4,9 @@
 #include <map>
 #include <vector>
 
-#include "pointlane/sender.hpp"
+#include "brasslift/sender.hpp"
 
-namespace pointlane::test {
+namespace brasslift::test {
 
 inline EndpointId endpoint(std::uint16_t number) { return {0x0a000000u + number, 8080}; }
 
@@ -189,4 +189,4 @@
     int logged_ = 0;
 };
 
-}  // namespace pointlane::test
+}  // namespace brasslift::test
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -9,7 +9,7 @@
 
 #include "rig.hpp"
 
-namespace pointlane::test {
+namespace brasslift::test {
 namespace {
 
 TEST(Sender, RefusesSettingsThatCannotBeWorkedWith) {
@@ -674,4 +674,4 @@
 }
 
 }  // namespace
-}  // namespace pointlane::test
+}  // namespace brasslift::test
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace pointlane::wire {
+namespace brasslift::wire {
 namespace {
 
 const std::string good =
@@ -60,4 +60,4 @@
 }
 
 }  // namespace
-}  // namespace pointlane::wire
+}  // namespace brasslift::wire
