Give silent peers up in time, test what a restart tells the module, add the CLI

A watch that fell silent was kept for 10 s while changes count as told after 6 s: 4.5 s now. A request could take 10 s though its client leaves after 400 ms: 3 s now. Eviction took any idle connection, also one in mid-request or kept in use: connections that never sent anything go first.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -11,8 +11,9 @@
 
 constexpr double first_pause_ms = 100, longest_pause_ms = 2000;
 constexpr double dial_ms = 1000;
-// An empty line comes every 2 s; after so many without any the watch is opened anew.
-constexpr double silence_ms = 10000;
+// An empty line comes every 2 s. Changes count as told 6 s late whether they came or not, so a watch that
+// has fallen silent is opened anew well before; the last list is kept meanwhile.
+constexpr double silence_ms = 4500;
 constexpr http::Limits watch_limits{16 * 1024, 8 * 1024 * 1024};
 constexpr std::size_t most_hosts = 20000;
 
@@ -116,7 +117,7 @@
     }
 }
 
-// One watch, until its connection ends or falls silent. Whether anything was heard on it.
+// One watch, until its connection ends or falls silent. False: discovery is not there, ask less often.
 runtime::Task<bool> Cluster::follow() {
     runtime::Waker waker(scheduler_);
     auto socket = runtime::connect_to(scheduler_, discovery_, waker);
@@ -137,7 +138,7 @@
     for (;;) {
         const auto got = socket->read(part, sizeof part);
         if (got.io == runtime::Io::blocked) {
-            if (scheduler_.now() >= last + silence_ms) co_return heard;
+            if (scheduler_.now() >= last + silence_ms) co_return true;
             co_await waker.wait(last + silence_ms);
             continue;
         }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -60,6 +60,18 @@
     return config;
 }
 
+std::string read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw BadConfig("the config file cannot be read: " + path);
+    std::string text;
+    char part[65536];
+    while (file.read(part, sizeof part), file.gcount() > 0) {
+        text.append(part, static_cast<std::size_t>(file.gcount()));
+        if (text.size() > most_config) throw BadConfig("the config file is too large: " + path);
+    }
+    return text;
+}
+
 Config load_config() {
     const auto variable = [](const char* name) -> std::string {
         const char* const value = std::getenv(name);
@@ -67,11 +79,7 @@
     };
     const auto path = variable("PROXY_CONFIG");
     if (path.empty()) throw BadConfig("PROXY_CONFIG names no file");
-    std::ifstream file(path, std::ios::binary);
-    if (!file) throw BadConfig("the file that PROXY_CONFIG names cannot be read");
-    std::string text(std::istreambuf_iterator<char>(file), {});
-    if (text.size() > most_config) throw BadConfig("the config is too large");
-    auto config = read_config(text);
+    auto config = read_config(read_file(path));
     if (const auto name = variable("PROXY_NAME"); !name.empty()) config.name = name;
     if (const auto listen = variable("PROXY_LISTEN"); !listen.empty()) config.listen = listen;
     if (const auto discovery = variable("PROXY_DISCOVERY"); !discovery.empty()) config.discovery = discovery;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -30,6 +30,8 @@
 
 // Reads a config's text; throws BadConfig or wire::BadSettings, naming what is wrong.
 Config read_config(const std::string& json);
+// A file of bounded size, whole.
+std::string read_file(const std::string& path);
 // The file and what the environment says beside it.
 Config load_config();
 
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -11,8 +11,9 @@
 namespace brasslift::downstream {
 namespace {
 
-constexpr double request_ms = 10000, write_ms = 5000,
-                 linger_ms = 300;  // no peer holds a connection for nothing
+// No peer holds a connection for nothing: clients leave after 400 ms, so a request this slow is nobody's.
+constexpr double request_ms = 3000, write_ms = 5000, linger_ms = 300;
+constexpr double unused_ms = 500;  // a connection that has sent nothing for so long goes before a kept one
 constexpr double accept_pause_ms = 20;
 constexpr std::size_t most_name = 128, most_linger = 256 * 1024;
 constexpr double most_deadline_ms = 24 * 3600 * 1000.0;
@@ -109,7 +110,7 @@
     http::Parser parser;
     std::string unread;  // bytes behind the present request
     Time idle_since = 0;
-    bool busy = false, evicted = false;
+    bool busy = false, served = false, evicted = false;
 };
 
 Server::Server(runtime::Scheduler& scheduler, const config::Config& config, std::size_t most_connections)
@@ -160,8 +161,12 @@
 
 bool Server::evict_idle() {
     Connection* oldest = nullptr;
+    const auto rank = [this](const Connection& c) {
+        return std::pair(c.served || scheduler_.now() - c.idle_since < unused_ms, c.idle_since);
+    };
     for (const auto& c : connections_)
-        if (!c->busy && !c->evicted && (oldest == nullptr || c->idle_since < oldest->idle_since))
+        if (!c->busy && !c->evicted && !c->parser.started() &&
+            (oldest == nullptr || rank(*c) < rank(*oldest)))
             oldest = c.get();
     if (oldest == nullptr) return false;
     oldest->evicted = true;
@@ -208,6 +213,7 @@
             break;
         }
         c.busy = false;
+        c.served = true;
         c.idle_since = scheduler_.now();
     }
     const auto fault = c.parser.fault();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <map>
 #include <string>
 
 #include "cluster/cluster.hpp"
@@ -121,17 +122,72 @@
     return 0;
 }
 
+// What a dispatcher would be told, or the reason for which it could not start.
+int check_config(const std::string& path) {
+    const auto config = path.empty() ? config::load_config() : config::read_config(config::read_file(path));
+    const auto known = cluster::read_news(config.known, config);
+    const Sender module(config.settings, config.seed);  // throws where the module cannot work with them
+    std::printf("name %s, listen %s, discovery %s\n", config.name.c_str(), config.listen.c_str(),
+                config.discovery.c_str());
+    std::printf("%zu classes, %zu customers, %zu hosts known; %d slots, %d messages held at most\n",
+                config.classes.size(), config.tenants.size(), known ? known->lines.size() : 0,
+                config.settings.slots, config.settings.max_held);
+    return 0;
+}
+
+const char* standing_of(const dispatch::Owed& m) {
+    switch (m.ending) {
+        case dispatch::Ending::failed: return "undeliverable, notice not yet taken";
+        case dispatch::Ending::deferred: return "deferred, notice not yet taken";
+        default: break;
+    }
+    return m.flying ? "owed, an attempt is out" : m.may_have_run ? "owed, an attempt may have run" : "owed";
+}
+
+// Lists what a journal says is owed; changes nothing, so it may be used beside a running dispatcher.
+int inspect_journal(std::string folder) {
+    if (const char* const state = std::getenv("PROXY_STATE"); folder.empty() && state != nullptr)
+        folder = state;
+    std::map<MessageId, dispatch::Owed> messages;
+    std::size_t records = 0;
+    const bool found = journal::Log::inspect(folder, [&](std::string_view record) {
+        ++records;
+        dispatch::Ledger::replay(record, messages);
+    });
+    if (!found) throw std::runtime_error("no journal in '" + folder + "'");
+    const double now = runtime::wall_now();
+    for (const auto& [id, m] : messages)
+        std::printf("%s class %u dest %u attempts %d due in %.0f ms: %s\n", m.name.c_str(), m.message_class,
+                    m.destination, m.attempts, m.due_wall - now, standing_of(m));
+    std::printf("%zu records, %zu messages\n", records, messages.size());
+    return 0;
+}
+
+int run(int argc, char** argv) {
+    cxxopts::Options options("brasslift",
+                             "A dispatcher that takes messages on and delivers them to outside partners.");
+    options.positional_help("").custom_help("[serve | version | check-config [FILE] | journal [FOLDER]]");
+    options.add_options()("command", "serve (the default), version, check-config or journal",
+                          cxxopts::value<std::string>()->default_value("serve"))(
+        "argument", "a config file, or a folder with a journal",
+        cxxopts::value<std::string>()->default_value(""))("h,help", "print this text");
+    options.parse_positional({"command", "argument"});
+    const auto given = options.parse(argc, argv);
+    const auto command = given["command"].as<std::string>(), argument = given["argument"].as<std::string>();
+    if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
+    if (command == "serve") return serve();
+    if (command == "version") return std::printf("brasslift %s\n", BRASSLIFT_VERSION) < 0 ? 1 : 0;
+    if (command == "check-config") return check_config(argument);
+    if (command == "journal") return inspect_journal(argument);
+    std::fprintf(stderr, "brasslift: no command '%s'\n%s", command.c_str(), options.help().c_str());
+    return 2;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     try {
-        cxxopts::Options options("brasslift", "A dispatcher that delivers messages to outside partners");
-        options.add_options()("command", "serve", cxxopts::value<std::string>()->default_value("serve"));
-        options.parse_positional({"command"});
-        const auto given = options.parse(argc, argv);
-        if (given["command"].as<std::string>() == "serve") return serve();
-        std::fprintf(stderr, "%s\n", options.help().c_str());
-        return 2;
+        return run(argc, argv);
     } catch (const std::exception& fault) {
         std::fprintf(stderr, "brasslift: %s\n", fault.what());
         return 1;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -226,6 +226,46 @@
               "");
 }
 
+// A request that never ends and a watch that falls silent hold nothing up for good.
+TEST(Dispatcher, GivesSilentPeersUp) {
+    EXPECT_EQ(play(R"(
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=1
+        d1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n
+        c1 send POST /safe HTTP/1.1\r\nReq-Id: m1\r\nContent-Length: 9\r\n\r\nhel
+        c1 absent HTTP 2500
+        c1 expect HTTP/1.1 408
+        c1 closed
+        wait 1000
+        d2 expect GET /discovery/hosts?stream=1&index=1
+        c2 post safe m2 8000m 1
+        c2 expect 202
+    )"),
+              "");
+}
+
+// Several messages of one tick to one host share a call; each has its own ending.
+TEST(Dispatcher, SplitsTheAnswerToABulkCall) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m1 8000m 1
+        h expect Req-Id: m1
+        c2 post safe m2 8000m 1
+        c3 post payment m3 8000m 1
+        c2 expect 202
+        c3 expect 202
+        h answer 200
+        h expect POST /inbox/bulk
+        h expect m2 key-m2 5\r\nhello\r\n
+        h send HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nm2 failed\r\nm3 done\r\n
+        h expect Req-Id: m2
+        h answer 200
+        h absent POST 300
+        d absent outcomes 10
+    )"),
+              "");
+}
+
 TEST(Dispatcher, SendsNothingNewToAHostThatDrains) {
     EXPECT_EQ(play(R"(
         start
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -673,5 +673,71 @@
     EXPECT_EQ(rig.first<Refuse>()->pause_ms, settings().max_pause_ms);
 }
 
+Restored restored(MessageId id, int cls, Time due, int attempts, bool may_have_run, Time first_risky) {
+    Restored r;
+    r.message.id = id;
+    r.message.message_class = static_cast<std::uint16_t>(cls);
+    r.message.due = due;
+    r.attempts = attempts;
+    r.may_have_run = may_have_run;
+    r.first_risky = first_risky;
+    return r;
+}
+
+TEST(Sender, ARestoredUnsafeMessageThatMayHaveRunFailsAtOnce) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    rig.tell(10, restored(1, 2, 15000, 1, true, 5));
+    EXPECT_EQ(rig.count<Fail>(), 1);
+    EXPECT_EQ(rig.count<Attempt>(), 0);
+    rig.tell(20, restored(2, 2, 15000, 1, false, 0));
+    EXPECT_EQ(rig.count<Attempt>(), 1);
+}
+
+TEST(Sender, ARestoredMessageIsOverWithItsTimeOrItsAttempts) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    rig.tell(10000, restored(1, 0, 9000, 1, false, 0));
+    EXPECT_EQ(rig.count<Refuse>(), 1);
+    rig.tell(10000, restored(2, 0, 20000, 6, true, 9000));
+    EXPECT_EQ(rig.count<Fail>(), 1);
+}
+
+TEST(Sender, ARestoredKeyedMessageGoesAgainOnlyInItsWindow) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    rig.tell(10000, restored(1, 1, 20000, 1, true, 1000));  // its window of 8 s is over
+    EXPECT_EQ(rig.count<Fail>(), 1);
+    rig.tell(10000, restored(2, 1, 20000, 1, true, 6000));
+    ASSERT_EQ(rig.count<Attempt>(), 1);
+    EXPECT_LE(rig.first<Attempt>()->start_by, 14000);
+    EXPECT_GT(rig.first<Attempt>()->start_by, 13000);
+}
+
+TEST(Sender, SendsNothingThatTheEndOfItsProcessWouldCutOff) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    const Time now = rig.warm(1, 0, endpoint(1), 3, 100);
+    rig.tell(now, Stopping{now + 1000});
+    rig.arrive(now + 100, 1, 0);
+    EXPECT_EQ(rig.count<Attempt>(), 1);
+    rig.land(now + 200, 1, Result::ok, endpoint(1));
+    rig.arrive(now + 900, 2, 0);
+    EXPECT_EQ(rig.count<Attempt>(), 0);
+}
+
+// A bulk answer may take messages on and still tell to wait.
+TEST(Sender, KeepsAWaitThatComesWithADelivery) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    rig.arrive(1, 1, 0);
+    rig.land(100, 1, Result::ok, endpoint(1), 900);
+    rig.arrive(200, 2, 0);
+    EXPECT_EQ(rig.count<Attempt>(), 0);
+    const auto sent = rig.run<Attempt>(3000);
+    ASSERT_EQ(sent.size(), 1u);
+    EXPECT_GE(sent[0].first, 1000);
+}
+
 }  // namespace
 }  // namespace brasslift::test
