Hear discovery before the first send of a start; end bulk messages in time

Found in review, each now with a scenario or a comment on what it guards: main.cpp sent what was owed on the list of the config, which may be old; the watch now has 100 ms to add to it. Pool::exchange waited for a connection past the time of a message in the call; it stops at start_by. Log::append let the log grow where no rewrite succeeds; it is capped at twice the half. A scenario caught that /up could say 503 to a connection queued before the start was over: ready is set before the first accept. Ruled out: a second send for a message that has ended, since a call past any of its messages' start_by is not written at all.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -166,6 +166,7 @@
         }
         asked_ = news->version;
         mailbox_.put(std::move(*news));
+        heard_ = true;
     }
     return heard;
 }
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -37,9 +37,9 @@
     void tell_to(Tell tell) { tell_ = std::move(tell); }
     // Numbers the hosts of a list and passes it to the pool; what the module is to be told.
     dispatch::Listed apply(const News& news);
-    runtime::Task<void> run();    // the actor
-    runtime::Task<void> watch();  // the connection that feeds it
-    std::uint32_t version() const { return version_; }
+    runtime::Task<void> run();             // the actor
+    runtime::Task<void> watch();           // the connection that feeds it
+    bool heard() const { return heard_; }  // a list or changes, since the start
 
 private:
     runtime::Task<bool> follow();
@@ -54,6 +54,7 @@
     Tell tell_;
     std::map<std::string, upstream::HostState> hosts_;  // by uid
     std::uint32_t version_ = 0, asked_ = 0;
+    bool heard_ = false;
 };
 
 }  // namespace brasslift::cluster
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -27,6 +27,8 @@
     now_ = scheduler_.now();
     wall_offset_ = runtime::wall_now() - runtime::steady_now();
     on(known);
+    // What discovery has said since comes before the first send: a host may have left in the meantime.
+    for (auto& letter : mailbox_.take_all()) std::visit([this](auto& l) { on(l); }, letter);
     for (auto& [id, m] : ledger_.all()) {
         if (m.ending != Ending::none) {
             outbox_.tell({m.id, m.name, m.ending, m.again_ms});
--- a/src/journal/log.cpp
+++ b/src/journal/log.cpp
@@ -135,6 +135,8 @@
 bool Log::append(std::string_view record) {
     if (broken_ || !file_) return false;
     const auto bytes = frame(record);
+    // Where no rewrite succeeds the log must still not outgrow the folder.
+    if (size_ + bytes.size() > 2 * half_) return false;
     if (write_all(file_.get(), bytes)) {
         size_ += bytes.size();
         return true;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,8 @@
 
 // After SIGTERM clients still come for a while and the kill is 3.7 s away at the soonest.
 constexpr double take_on_ms = 600, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
+// The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
+constexpr double fresh_list_ms = 100;
 // The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
 constexpr double disk_share = 0.8;
 
@@ -107,14 +109,18 @@
 
     if (!server.listen(*listen)) throw std::runtime_error("cannot listen on " + config.listen);
     const auto known = cluster::read_news(config.known, config);
-    dispatcher.recover(known ? cluster.apply(*known) : dispatch::Listed{});
-    scheduler.spawn(dispatcher.run());
-    scheduler.spawn(notices.run());
+    const auto first = known ? cluster.apply(*known) : dispatch::Listed{};
     scheduler.spawn(cluster.run());
     scheduler.spawn(cluster.watch());
+    for (const Time until = scheduler.now() + fresh_list_ms;
+         !cluster.heard() && runtime::steady_now() < until;)
+        scheduler.run_until(runtime::steady_now() + 2);
+    dispatcher.recover(first);
+    scheduler.spawn(dispatcher.run());
+    scheduler.spawn(notices.run());
+    server.ready(true);  // all that is owed is known; connections that came meanwhile wait in the queue
     scheduler.spawn(server.run());
     scheduler.spawn(until_stopped(scheduler, dispatcher, ledger, notices, server));
-    server.ready(true);
     runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(),
                  ledger.held());
     scheduler.run();
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -166,7 +166,9 @@
         if (starved) shed_idle();
         if (!socket) co_return;
         flight.socket = std::move(*socket);
-        const Time until = std::min(scheduler_.now() + settings_.dial_timeout_ms, flight.expires);
+        // Past start_by its first byte may not go: a message whose time ends then is told so at once.
+        const Time until =
+            std::min({scheduler_.now() + settings_.dial_timeout_ms, flight.expires, flight.start_by});
         auto state = flight.socket.connected();
         while (state == runtime::Io::blocked && scheduler_.now() < until) {
             co_await flight.waker.wait(until);
@@ -200,11 +202,7 @@
                 ended.cause = Cause::timed_out;
                 co_return;
             }
-            Time until = flight.expires;
-            for (std::size_t i = 0; i < flight.landed.size(); ++i)
-                if (!flight.landed[i])
-                    until = std::min(until, std::max(flight.call.parcels[i].due, scheduler_.now()));
-            co_await flight.waker.wait(until);
+            co_await flight.waker.wait(next_due(flight));
             continue;
         }
         flight.parser.end();
@@ -232,7 +230,8 @@
                                  ? Cause::timed_out
                                  : Cause::broken;
         if (put.io != runtime::Io::blocked || scheduler_.now() >= flight.expires) co_return false;
-        co_await flight.waker.wait(flight.expires);
+        land_due(flight);
+        co_await flight.waker.wait(next_due(flight));
     }
     flight.ended.cause = Cause::none;
     co_return true;
@@ -271,6 +270,13 @@
     }
 }
 
+Time Pool::next_due(const Flight& flight) const {
+    Time next = flight.expires;
+    for (std::size_t i = 0; i < flight.landed.size(); ++i)
+        if (!flight.landed[i]) next = std::min(next, flight.call.parcels[i].due);
+    return next;
+}
+
 void Pool::land(Flight& flight) {
     std::vector<std::string> names;
     for (const auto& parcel : flight.call.parcels) names.push_back(parcel.name);
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -72,6 +72,7 @@
     void give_back(Host& host, runtime::Socket socket);
     void shed_idle();
     void drop_idle(Host& host, Time older_than);
+    Time next_due(const Flight& flight) const;
     void land_due(Flight& flight);
     void land(Flight& flight);
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -266,6 +266,36 @@
               "");
 }
 
+// The list of a start may be old: what is owed waits for what discovery has to add.
+TEST(Dispatcher, HearsDiscoveryBeforeItSendsWhatItOwes) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post safe m1 8000m 1
+        c1 expect 202
+        h expect Req-Id: m1
+        kill
+        start
+        d2 expect GET /discovery/hosts?stream=1&index=1
+        d2 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5b\r\n{"rev":2,"all":false,"targets":[{"uid":"s-1","endpoint":"","pod_group":1,"state":"Gone"}]}\n\r\n
+        h absent POST 500
+    )"),
+              "");
+}
+
+// A message whose time ends while its call still waits for a connection is over at that time.
+TEST(Dispatcher, EndsAMessageInTimeThoughItsHostDoesNotAnswer) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m1 600m 1
+        c1 expect 202
+        h expect Req-Id: m1
+        d absent "id":"m1" 450
+        d expect "id":"m1","status":"undeliverable"
+        h1 closed
+    )"),
+              "");
+}
+
 TEST(Dispatcher, SendsNothingNewToAHostThatDrains) {
     EXPECT_EQ(play(R"(
         start
