Write waiting for a connection and looking up a name once

The loop that waits for a connection stood in pool, cluster and notices, the look-up of a name in cluster and server; each has one place now (come_up, place_of). The offset between the clocks is taken once a life, so that a step of the wall clock moves no deadline of a running process; that was found in review (dispatcher.cpp, turn). Tests use the system's folder for temporary files. Ruled out: a change of behaviour otherwise.

--- a/examples/consumer/main.cpp
+++ b/examples/consumer/main.cpp
@@ -1,6 +1,6 @@
 // A sender with one destination: one message comes in, the library says to call the endpoint.
-#include <cstdio>
 #include <brasslift/sender.hpp>
+#include <cstdio>
 
 int main() {
     brasslift::Settings settings;
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -17,11 +17,6 @@
 constexpr http::Limits watch_limits{16 * 1024, 8 * 1024 * 1024};
 constexpr std::size_t most_hosts = 20000;
 
-int place_of(const std::vector<std::string>& names, const std::string& name) {
-    const auto found = std::find(names.begin(), names.end(), name);
-    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
-}
-
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
                                {{"Host", "discovery"}}, "");
@@ -49,10 +44,10 @@
         }
         if (address) line.address = *address;
         line.listing.destination = static_cast<std::uint16_t>(group);
-        line.listing.zone =
-            static_cast<std::uint16_t>(std::max(0, place_of(config.zones, config::text_or(flat, at + "az"))));
+        line.listing.zone = static_cast<std::uint16_t>(
+            std::max(0, config::place_of(config.zones, config::text_or(flat, at + "az"))));
         line.listing.kind = static_cast<std::uint8_t>(
-            std::max(0, place_of(config.kinds, config::text_or(flat, at + "model"))));
+            std::max(0, config::place_of(config.kinds, config::text_or(flat, at + "model"))));
         line.listing.state = state == "Ready"  ? ListingState::ready
                              : state == "Gone" ? ListingState::gone
                                                : ListingState::draining;
@@ -123,11 +118,7 @@
     auto socket = runtime::connect_to(scheduler_, discovery_, waker);
     if (!socket) co_return false;
     const Time until = scheduler_.now() + dial_ms;
-    auto state = socket->connected();
-    while (state == runtime::Io::blocked && scheduler_.now() < until) {
-        co_await waker.wait(until);
-        state = socket->connected();
-    }
+    const auto state = co_await runtime::come_up(scheduler_, *socket, waker, until);
     if (state != runtime::Io::done) co_return false;
     const auto request = watch_request(asked_);
     if (socket->write(request).count != request.size()) co_return false;
--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -75,11 +75,7 @@
         socket_ = std::move(*fresh);
     }
     socket_.rebind(waker);
-    auto state = socket_.connected();
-    while (state == runtime::Io::blocked && scheduler_.now() < until) {
-        co_await waker.wait(until);
-        state = socket_.connected();
-    }
+    const auto state = co_await runtime::come_up(scheduler_, socket_, waker, until);
     const auto text = request_with(body);
     std::string_view rest = text;
     http::Parser parser(http::Parser::Side::response);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -37,6 +38,11 @@
 
 }  // namespace
 
+int place_of(const std::vector<std::string>& names, std::string_view name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
+}
+
 Config read_config(const std::string& json) {
     const auto flat = flatten(json);
     if (!flat) throw BadConfig("the config is not a JSON object that can be read");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -28,6 +28,9 @@
     Flat known;  // the list as this dispatcher last had it, in discovery's form
 };
 
+// The place of a name, -1 if there is none.
+int place_of(const std::vector<std::string>& names, std::string_view name);
+
 // Reads a config's text; throws BadConfig or wire::BadSettings, naming what is wrong.
 Config read_config(const std::string& json);
 // A file of bounded size, whole.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -25,6 +25,7 @@
 
 void Dispatcher::recover(const Listed& known) {
     now_ = scheduler_.now();
+    // Once a life: a step of the wall clock while it runs moves no deadline.
     wall_offset_ = runtime::wall_now() - runtime::steady_now();
     on(known);
     // What discovery has said since comes before the first send: a host may have left in the meantime.
@@ -66,7 +67,6 @@
 
 void Dispatcher::turn() {
     now_ = scheduler_.now();
-    wall_offset_ = runtime::wall_now() - runtime::steady_now();
     auto letters = mailbox_.take_all();
     for (auto& letter : letters) std::visit([this](auto& l) { on(l); }, letter);
     while (!timers_.empty() && timers_.begin()->first <= now_) {
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -49,11 +49,6 @@
     return -1;
 }
 
-int place_of(const std::vector<std::string>& names, std::string_view name) {
-    const auto found = std::find(names.begin(), names.end(), name);
-    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
-}
-
 std::string seconds(double ms) {
     char text[32];
     std::snprintf(text, sizeof text, "%.3f", std::max(0.0, ms) / 1000);
@@ -67,7 +62,7 @@
     path = path.substr(0, path.find('?'));
     if (path.empty() || path.front() != '/') return 400;
     path.remove_prefix(1);
-    const int message_class = place_of(config.classes, path.substr(0, path.find('/')));
+    const int message_class = config::place_of(config.classes, path.substr(0, path.find('/')));
     if (message_class < 0) return 404;
     if (request.method != "POST") return 405;
     const auto& h = request.headers;
@@ -75,7 +70,7 @@
                       *const deadline = h.find("Req-Deadline"), *const addressing = h.find("X-Addressing"),
                       *const key = h.find("Idempotency-Key");
     if (id == nullptr || !is_name(*id) || deadline == nullptr || addressing == nullptr) return 400;
-    const int tenant = owner == nullptr ? -1 : place_of(config.tenants, *owner);
+    const int tenant = owner == nullptr ? -1 : config::place_of(config.tenants, *owner);
     if (!config.tenants.empty() && tenant < 0) return 400;
     const double span = read_span(*deadline);
     const int destination = read_destination(*addressing);
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -140,6 +140,15 @@
     return socket;
 }
 
+Task<Io> come_up(Scheduler& scheduler, Socket& socket, Waker& waker, Time until) {
+    auto state = socket.connected();
+    while (state == Io::blocked && scheduler.now() < until) {
+        co_await waker.wait(until);
+        state = socket.connected();
+    }
+    co_return state;
+}
+
 Accepted accept_from(const Socket& listener, Descriptor& into) {
     for (;;) {
         const int fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -59,6 +59,9 @@
 std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker,
                                  bool* starved = nullptr);
 
+// Waits for a connection on its way; `blocked` where it has not come up by then.
+Task<Io> come_up(Scheduler& scheduler, Socket& socket, Waker& waker, Time until);
+
 enum class Accepted { one, none, no_room };
 Accepted accept_from(const Socket& listener, Descriptor& into);
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -169,11 +169,7 @@
         // Past start_by its first byte may not go: a message whose time ends then is told so at once.
         const Time until =
             std::min({scheduler_.now() + settings_.dial_timeout_ms, flight.expires, flight.start_by});
-        auto state = flight.socket.connected();
-        while (state == runtime::Io::blocked && scheduler_.now() < until) {
-            co_await flight.waker.wait(until);
-            state = flight.socket.connected();
-        }
+        const auto state = co_await runtime::come_up(scheduler_, flight.socket, flight.waker, until);
         if (state == runtime::Io::blocked) ended.cause = Cause::timed_out;
         if (state != runtime::Io::done) co_return;
     }
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -83,9 +83,8 @@
 class Stage {
 public:
     Stage() {
-        char name[] = "/tmp/brasslift-test-XXXXXX";
-        if (::mkdtemp(name) == nullptr) throw Fault("no folder for the test");
-        folder_ = name;
+        folder_ = (fs::temp_directory_path() / "brasslift-test-XXXXXX").string();
+        if (::mkdtemp(folder_.data()) == nullptr) throw Fault("no folder for the test");
         fs::create_directory(folder_ + "/state");
         Listener own;  // a free port for the program itself
         port_ = own.port;
