--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -1,6 +1,8 @@
 #include "cluster/cluster.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "http/parser.hpp"
 #include "http/writer.hpp"
@@ -16,6 +18,7 @@
 constexpr double silence_ms = 4500;
 constexpr http::Limits watch_limits{16 * 1024, 8 * 1024 * 1024};
 constexpr std::size_t most_hosts = 20000;
+constexpr double forget_ms = 30000;  // after its end; its last calls are over well before
 
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
@@ -64,6 +67,7 @@
       discovery_(discovery),
       pool_(pool),
       waker_(scheduler),
+      watch_waker_(scheduler),
       mailbox_(waker_) {}
 
 dispatch::Listed Cluster::apply(const News& news) {
@@ -71,23 +75,32 @@
     dispatch::Listed listed;
     listed.whole = news.whole;
     if (news.whole) {
-        for (auto& [uid, host] : hosts_) {
-            const bool named = std::any_of(news.lines.begin(), news.lines.end(),
-                                           [&](const auto& l) { return l.uid == uid; });
-            if (named || !host.ready) continue;
-            host.ready = false;
-            pool_.relist(host);
-        }
+        std::set<std::string_view> named;
+        for (const auto& line : news.lines) named.insert(line.uid);
+        for (auto& [uid, host] : hosts_)
+            if (named.count(uid) == 0) leave(host, listed);
     }
     for (const auto& line : news.lines) {
-        auto [known, fresh] = hosts_.try_emplace(line.uid);
-        auto& host = known->second;
-        if (fresh) host.id = {static_cast<std::uint32_t>(hosts_.size()), 0};
+        const bool gone = line.listing.state == ListingState::gone;
+        auto found = hosts_.find(line.uid);
+        if (gone && found == hosts_.end()) continue;  // never heard of, or forgotten: nothing to undo
+        if (found == hosts_.end()) {
+            found = hosts_.emplace(line.uid, Known{}).first;
+            found->second.state.id = {++last_id_, 0};
+        }
+        auto& known = found->second;
+        auto& host = known.state;
         if (line.address.port != 0) host.address = line.address;
         host.destination = line.listing.destination;
         host.apart = line.listing.kind < config_.settings.kinds.size() &&
                      config_.settings.kinds[line.listing.kind].routes_apart;
         host.ready = line.listing.state == ListingState::ready;
+        host.gone = gone;
+        known.gone_at = !gone ? runtime::never : std::min(known.gone_at, scheduler_.now());
+        // Word of who had the address before may come later than word of who has it now.
+        if (host.ready)
+            for (auto& [uid, other] : hosts_)
+                if (&other != &known && other.state.address == host.address) leave(other, listed);
         pool_.relist(host);
         listed.lines.push_back(line.listing);
         listed.lines.back().endpoint = host.id;
@@ -95,10 +108,46 @@
     return listed;
 }
 
+// As if the list had said that it is gone.
+void Cluster::leave(Known& known, dispatch::Listed& listed) {
+    if (known.state.gone) return;
+    known.state.ready = false;
+    known.state.gone = true;
+    known.gone_at = scheduler_.now();
+    pool_.relist(known.state);
+    Listing line;
+    line.endpoint = known.state.id;
+    line.destination = known.state.destination;
+    line.state = ListingState::gone;
+    listed.lines.push_back(line);
+}
+
+Time Cluster::next_forgotten() const {
+    Time first = runtime::never;
+    for (const auto& [uid, host] : hosts_) first = std::min(first, host.gone_at + forget_ms);
+    return first;
+}
+
+// New hosts come without end; those that have gone leave nothing behind, here or in the core.
+dispatch::Listed Cluster::forget_gone() {
+    dispatch::Listed listed;
+    for (auto host = hosts_.begin(); host != hosts_.end();) {
+        if (scheduler_.now() < host->second.gone_at + forget_ms) {
+            ++host;
+            continue;
+        }
+        pool_.forget(host->second.state.id);
+        listed.forgotten.push_back(host->second.state.id);
+        host = hosts_.erase(host);
+    }
+    return listed;
+}
+
 runtime::Task<void> Cluster::run() {
     for (;;) {
         while (auto news = mailbox_.take()) tell_(apply(*news));
-        co_await waker_.wait();
+        if (auto forgotten = forget_gone(); !forgotten.forgotten.empty()) tell_(std::move(forgotten));
+        co_await waker_.wait(next_forgotten());
     }
 }
 
@@ -108,18 +157,31 @@
     for (;;) {
         const bool heard = co_await follow();
         pause = heard ? first_pause_ms : std::min(2 * pause, longest_pause_ms);
-        co_await runtime::sleep_until(scheduler_, scheduler_.now() + pause);
+        const Time until = scheduler_.now() + pause;
+        while (!moved_ && scheduler_.now() < until) co_await watch_waker_.wait(until);
+        if (std::exchange(moved_, false)) pause = first_pause_ms;
     }
 }
 
+void Cluster::move_to(runtime::Address discovery) {
+    if (discovery == discovery_) return;
+    discovery_ = discovery;
+    moved_ = true;
+    watch_waker_.notify();
+}
+
 // One watch, until its connection ends or falls silent. False: discovery is not there, ask less often.
 runtime::Task<bool> Cluster::follow() {
-    runtime::Waker waker(scheduler_);
+    auto& waker = watch_waker_;
     auto socket = runtime::connect_to(scheduler_, discovery_, waker);
     if (!socket) co_return false;
     const Time until = scheduler_.now() + dial_ms;
-    const auto state = co_await runtime::come_up(scheduler_, *socket, waker, until);
-    if (state != runtime::Io::done) co_return false;
+    auto state = socket->connected();
+    while (state == runtime::Io::blocked && !moved_ && scheduler_.now() < until) {
+        co_await waker.wait(until);
+        state = socket->connected();
+    }
+    if (state != runtime::Io::done || moved_) co_return false;
     const auto request = watch_request(asked_);
     if (socket->write(request).count != request.size()) co_return false;
     http::Parser parser(http::Parser::Side::response, watch_limits);
@@ -131,6 +193,7 @@
         if (got.io == runtime::Io::blocked) {
             if (scheduler_.now() >= last + silence_ms) co_return true;
             co_await waker.wait(last + silence_ms);
+            if (moved_) co_return true;
             continue;
         }
         if (got.io != runtime::Io::done) co_return heard;
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -37,8 +37,10 @@
     void tell_to(Tell tell) { tell_ = std::move(tell); }
     // Numbers the hosts of a list and passes it to the pool; what the module is to be told.
     dispatch::Listed apply(const News& news);
-    runtime::Task<void> run();             // the actor
-    runtime::Task<void> watch();           // the connection that feeds it
+    runtime::Task<void> run();    // the actor
+    runtime::Task<void> watch();  // the connection that feeds it
+    // From now on discovery is there: the watch leaves its connection and goes on where it was.
+    void move_to(runtime::Address discovery);
     bool heard() const { return heard_; }  // a list or changes, since the start
 
 private:
@@ -49,12 +51,21 @@
     const config::Config& config_;
     runtime::Address discovery_;
     upstream::Pool& pool_;
-    runtime::Waker waker_;
+    runtime::Waker waker_, watch_waker_;
     runtime::Mailbox<News> mailbox_;
     Tell tell_;
-    std::map<std::string, upstream::HostState> hosts_;  // by uid
+    struct Known {
+        upstream::HostState state;
+        Time gone_at = runtime::never;
+    };
+    void leave(Known& known, dispatch::Listed& listed);
+    dispatch::Listed forget_gone();
+    Time next_forgotten() const;
+
+    std::map<std::string, Known> hosts_;  // by uid
+    std::uint32_t last_id_ = 0;           // never given twice: another uid is another host
     std::uint32_t version_ = 0, asked_ = 0;
-    bool heard_ = false;
+    bool heard_ = false, moved_ = false;
 };
 
 }  // namespace brasslift::cluster
--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -35,6 +35,10 @@
     std::size_t most = most_lines;
     for (;;) {
         for (auto& notice : mailbox_.take_all()) waiting_.push_back(std::move(notice));
+        if (std::exchange(moved_, false)) {
+            socket_.close();
+            pause = first_pause_ms;
+        }
         if (waiting_.empty()) {
             co_await waker_.wait();
             continue;
@@ -59,11 +63,19 @@
             continue;
         }
         socket_.close();
-        co_await runtime::sleep_until(scheduler_, scheduler_.now() + pause);
+        const Time until = scheduler_.now() + pause;
+        while (!moved_ && scheduler_.now() < until) co_await waker_.wait(until);
         pause = std::min(2 * pause, longest_pause_ms);
     }
 }
 
+void Notices::move_to(runtime::Address discovery) {
+    if (discovery == discovery_) return;
+    discovery_ = discovery;
+    moved_ = true;
+    waker_.notify();
+}
+
 runtime::Task<int> Notices::post(const std::string& body) {
     runtime::Waker waker(scheduler_);
     const Time until = scheduler_.now() + answer_ms;
--- a/src/cluster/notices.hpp
+++ b/src/cluster/notices.hpp
@@ -19,6 +19,8 @@
     using Report = std::function<void(dispatch::Told)>;
     void report_to(Report report) { report_ = std::move(report); }
     void tell(dispatch::Notice notice) override { mailbox_.put(std::move(notice)); }
+    // From now on the platform takes them there; one that is under way ends where it was sent.
+    void move_to(runtime::Address discovery);
     bool empty() const { return mailbox_.empty() && waiting_.empty(); }
     runtime::Task<void> run();
 
@@ -31,6 +33,7 @@
     runtime::Mailbox<dispatch::Notice> mailbox_;
     std::deque<dispatch::Notice> waiting_;
     runtime::Socket socket_;
+    bool moved_ = false;
     Report report_;
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -53,6 +53,7 @@
     config.seed = std::strtoull(text_or(*flat, "seed", "1").c_str(), nullptr, 16);
     config.sockets = static_cast<std::size_t>(number_or(*flat, "limits.sockets", 1024));
     config.disk_mb = number_or(*flat, "limits.disk_mb", 3);
+    config.memory_mb = number_or(*flat, "limits.memory_mb", 192);
     std::string lines;
     for (const auto& [path, value] : below(*flat, "settings")) lines += path + '=' + value + '\n';
     config.settings = wire::read_settings(lines);
@@ -88,7 +89,8 @@
     auto config = read_config(read_file(path));
     if (const auto name = variable("PROXY_NAME"); !name.empty()) config.name = name;
     if (const auto listen = variable("PROXY_LISTEN"); !listen.empty()) config.listen = listen;
-    if (const auto discovery = variable("PROXY_DISCOVERY"); !discovery.empty()) config.discovery = discovery;
+    // The file is what a reload replaces, so it is never older than the environment of the process.
+    if (config.discovery.empty()) config.discovery = variable("PROXY_DISCOVERY");
     config.state_folder = variable("PROXY_STATE");
     if (config.listen.empty()) throw BadConfig("PROXY_LISTEN: no address to listen on");
     if (config.discovery.empty()) throw BadConfig("PROXY_DISCOVERY: no address of discovery");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -20,7 +20,7 @@
     std::string name, listen, discovery, state_folder;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
-    double disk_mb = 3;
+    double disk_mb = 3, memory_mb = 192;
     double dial_timeout_ms = 1500, drain_grace_ms = 2000;
     Settings settings;  // the module's; read by the adapter's reader
     // Names by their place in the settings, as paths, headers and the list use them.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr double full_pause_ms = 500;  // advice where the holding room or the journal is full
+// So many ids that were taken on of late are remembered past their end, for as long as a message may live:
+// one that is handed in under such an id again is no new message, and may not run a second time.
+constexpr std::size_t most_remembered = 4096;
+constexpr double remembered_ms = 30000;
 
 }  // namespace
 
@@ -31,6 +35,12 @@
     // What discovery has said since comes before the first send: a host may have left in the meantime.
     for (auto& letter : mailbox_.take_all()) std::visit([this](auto& l) { on(l); }, letter);
     for (auto& [id, m] : ledger_.all()) {
+        Submission as_handed_in;
+        as_handed_in.key = m.key;
+        as_handed_in.message_class = m.message_class;
+        as_handed_in.destination = m.destination;
+        as_handed_in.body = m.body;
+        remember(m.name, print_of(as_handed_in));
         if (m.ending != Ending::none) {
             outbox_.tell({m.id, m.name, m.ending, m.again_ms});
             continue;
@@ -102,11 +112,18 @@
     const auto client = s.client.lock();
     // A client that left before its answer may hand in again under another id: its message never starts.
     if (!client) return;
-    if (!client->present()) return client->answer({false, true, full_pause_ms, 0});
-    // A client whose connection broke sends the same request once more: it is taken on once.
-    if (ledger_.owes(s.name)) return client->answer({true, false, 0, 0});
+    if (!client->present()) return client->answer({Reply::full, full_pause_ms, 0});
+    if (destinations_.count(s.destination) == 0)
+        return client->answer({list_heard_ ? Reply::nowhere : Reply::unlisted, full_pause_ms, 0});
+    // A client whose connection broke sends the same request once more: it is taken on once. Whoever hands
+    // something else in under an id that another client's message has, is told so.
+    forget_ids();
+    const auto print = print_of(s);
+    if (const auto known = ids_.find(s.name); known != ids_.end())
+        return client->answer({known->second == print ? Reply::taken : Reply::conflict, 0, 0});
+    if (coming_.count(s.name) != 0) return client->answer({Reply::conflict, 0, 0});
     if (ledger_.held() + candidates_.size() >= static_cast<std::size_t>(settings_.max_held))
-        return client->answer({false, true, full_pause_ms, 0});
+        return client->answer({Reply::full, full_pause_ms, 0});
     Candidate candidate;
     auto& m = candidate.message;
     m.id = ledger_.reserve_id();
@@ -124,22 +141,53 @@
     arrival.tenant = m.tenant;
     arrival.due = s.due;
     arrival.destination = m.destination;
+    candidate.print = print;
+    coming_.insert(m.name);
     candidates_.emplace(arrival.id, std::move(candidate));
     tell(arrival);
 }
 
+std::size_t Dispatcher::print_of(const Submission& s) {
+    const std::hash<std::string_view> hash;
+    std::size_t print = hash(*s.body);
+    for (const std::size_t part : {hash(s.key), std::size_t{s.message_class}, std::size_t{s.destination}})
+        print = print * 1099511628211U ^ part;
+    return print;
+}
+
+void Dispatcher::remember(const std::string& name, std::size_t print) {
+    ids_.insert_or_assign(name, print);
+    remembered_.emplace_back(now_ + remembered_ms, name);
+}
+
+// The oldest go first; one that is still owed keeps its place.
+void Dispatcher::forget_ids() {
+    for (auto left = remembered_.size();
+         left > 0 && (remembered_.front().first <= now_ || remembered_.size() > most_remembered); --left) {
+        auto& [until, name] = remembered_.front();
+        if (ledger_.owes(name))
+            remembered_.emplace_back(now_ + remembered_ms, std::move(name));
+        else
+            ids_.erase(name);
+        remembered_.pop_front();
+    }
+}
+
 void Dispatcher::take_on_candidates() {
+    coming_.clear();
     for (auto& [id, candidate] : std::exchange(candidates_, {})) {
         const auto client = candidate.client.lock();
+        const auto name = candidate.message.name;
         if (!client) {
             withdrawn_.insert(id);
             tell(Withdrawn{id});
         } else if (ledger_.take(std::move(candidate.message)) == nullptr) {
-            client->answer({false, true, full_pause_ms, 0});
+            client->answer({Reply::full, full_pause_ms, 0});
             withdrawn_.insert(id);
             tell(Withdrawn{id});
         } else {
-            client->answer({true, false, 0, id});
+            remember(name, candidate.print);
+            client->answer({Reply::taken, 0, id});
         }
     }
 }
@@ -173,7 +221,13 @@
 }
 
 void Dispatcher::on(const Listed& listed) {
-    for (const auto& line : listed.lines) hosts_[line.endpoint.address] = line;
+    for (const auto& line : listed.lines) {
+        hosts_[line.endpoint.address] = line;
+        destinations_.insert(line.destination);
+    }
+    for (const auto& host : listed.forgotten) hosts_.erase(host.address);
+    if (!listed.whole && listed.lines.empty()) return;
+    list_heard_ = list_heard_ || !listed.from_config;
     ListUpdate update;
     update.whole = listed.whole;
     update.entries = listed.lines;
@@ -228,7 +282,8 @@
 void Dispatcher::do_action(const Refuse& refuse) {
     if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
         if (const auto client = waiting->second.client.lock())
-            client->answer({false, false, refuse.pause_ms, 0});
+            client->answer({Reply::refused, refuse.pause_ms, 0});
+        coming_.erase(waiting->second.message.name);
         candidates_.erase(waiting);
         return;
     }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -4,7 +4,9 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "dispatch/ledger.hpp"
 #include "dispatch/types.hpp"
@@ -28,6 +30,7 @@
     struct Candidate {  // a stream that the module has seen but that is not answered yet
         Owed message;
         std::weak_ptr<Client> client;
+        std::size_t print = 0;
     };
 
     void turn();
@@ -48,6 +51,10 @@
     void do_action(const Close& close);
     void do_action(const Log& log);
     void take_on_candidates();
+    // Of what a client handed in, but for its id: tells the same request again from another one.
+    static std::size_t print_of(const Submission& submission);
+    void remember(const std::string& name, std::size_t print);
+    void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
     void not_sent(const Attempt& attempt, int number, bool over);
 
@@ -63,9 +70,14 @@
     double wall_offset_ = 0;  // wall clock less steady clock
     std::vector<Action> actions_;
     std::map<MessageId, Candidate> candidates_;
+    std::set<std::string> coming_;                      // the ids of the candidates
+    std::unordered_map<std::string, std::size_t> ids_;  // taken on of late, with their prints
+    std::deque<std::pair<Time, std::string>> remembered_;
     std::set<MessageId> withdrawn_;  // not taken on after the module had seen them; in this turn only
     std::map<EndpointId, std::deque<Call>> calls_;
     std::unordered_map<std::uint32_t, Listing> hosts_;
+    std::set<std::uint16_t> destinations_;  // that some list has named; one may be without hosts for a while
+    bool list_heard_ = false;               // from discovery, since the start
     std::multimap<Time, std::uint32_t> timers_;
     std::size_t flying_ = 0;
 };
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -14,10 +14,14 @@
 
 using runtime::never;
 
-// The answer to a stream: taken on, or a local reply with the time after which to come again.
+// What becomes of a stream: taken on, or a local reply. `full`: no room, or no journal; `refused`: by the
+// module; `unlisted`: its destination is in no list so far, and discovery has not spoken yet; `nowhere`: it
+// has; `conflict`: another message was handed in under that id.
+enum class Reply { taken, refused, full, unlisted, nowhere, conflict };
+
+// The answer to a stream, with the time after which to come again where it may.
 struct Answer {
-    bool taken = false;
-    bool full = false;  // no room, or no journal; else the module's own refusal
+    Reply reply = Reply::full;
     double pause_ms = 0;
     MessageId id = 0;  // that it was taken on under
 };
@@ -70,7 +74,9 @@
 
 struct Listed {
     bool whole = false;
+    bool from_config = false;  // as last known, not heard from discovery
     std::vector<Listing> lines;
+    std::vector<EndpointId> forgotten;  // hosts that have long been gone; their ids never come again
 };
 
 enum class Ending : std::uint8_t { none, done, failed, deferred };
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -11,10 +11,20 @@
 namespace brasslift::downstream {
 namespace {
 
-// No peer holds a connection for nothing: clients leave after 400 ms, so a request this slow is nobody's.
-constexpr double request_ms = 3000, write_ms = 5000, linger_ms = 300;
-constexpr double unused_ms = 500;  // a connection that has sent nothing for so long goes before a kept one
+// No peer holds a connection for nothing. Whoever connects is owed an answer or a close within 3 s; clients
+// leave 400 ms after their request, so one that takes longer than `request_ms` is nobody's. Counted from the
+// connect for the first request, from its first byte for a later one.
+constexpr double request_ms = 2000, write_ms = 2000, linger_ms = 300;
+// Kept connections without a request may close after 2 s. They do where the table fills up, and where one has
+// been held for so long that its client has forgotten it.
+constexpr double spare_ms = 2100, kept_ms = 15000;
+constexpr double crowded_share = 0.5;
+// In a full table, what has sent nothing or no whole request for so long goes before any usual client's.
+constexpr double unused_ms = 100, unfinished_ms = 400;
+constexpr int most_probes = 8;  // connections that are looked at to find one that may go
+constexpr int accepts_in_a_row = 64;
 constexpr double accept_pause_ms = 20;
+constexpr double crowd_pause_ms = 500;
 constexpr std::size_t most_name = 128, most_linger = 256 * 1024;
 constexpr double most_deadline_ms = 24 * 3600 * 1000.0;
 
@@ -66,6 +76,9 @@
     if (message_class < 0) return 404;
     if (request.method != "POST") return 405;
     const auto& h = request.headers;
+    for (const char* const once :
+         {"Req-Id", "Req-Owner", "Req-Deadline", "X-Addressing", "Idempotency-Key", "Content-Length"})
+        if (h.count(once) > 1) return 400;
     const auto *const id = h.find("Req-Id"), *const owner = h.find("Req-Owner"),
                       *const deadline = h.find("Req-Deadline"), *const addressing = h.find("X-Addressing"),
                       *const key = h.find("Idempotency-Key");
@@ -103,13 +116,14 @@
     runtime::Mailbox<dispatch::Answer> mailbox;
     runtime::Socket socket;
     http::Parser parser;
-    std::string unread;  // bytes behind the present request
-    Time idle_since = 0;
+    std::string unread;    // bytes behind the present request
+    Time since = 0;        // idle, or when its request began
+    std::size_t held = 0;  // bytes of its request, as the server counts them
     bool busy = false, served = false, evicted = false;
 };
 
-Server::Server(runtime::Scheduler& scheduler, const config::Config& config, std::size_t most_connections)
-    : scheduler_(scheduler), config_(config), most_(most_connections), waker_(scheduler) {}
+Server::Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits)
+    : scheduler_(scheduler), config_(config), limits_(limits), waker_(scheduler) {}
 
 bool Server::listen(runtime::Address address) {
     auto listener = runtime::listen_on(scheduler_, address, waker_);
@@ -123,57 +137,92 @@
 }
 
 runtime::Task<void> Server::run() {
+    int accepted = 0;
     while (listener_) {
         runtime::Descriptor fd;
         switch (runtime::accept_from(listener_, fd)) {
-            case runtime::Accepted::one: take(std::move(fd)); break;
+            case runtime::Accepted::one:
+                take(std::move(fd));
+                if (++accepted % accepts_in_a_row == 0)  // a storm of them must not hold the others up
+                    co_await waker_.wait(scheduler_.now());
+                break;
             case runtime::Accepted::none: co_await waker_.wait(); break;
             case runtime::Accepted::no_room:
-                // Out of descriptors: an idle client makes room, else the queue waits a moment.
+                // Out of descriptors: another client makes room, else the queue waits a moment.
                 runtime::log("downstream", "no descriptor is left for a connection");
-                if (!evict_idle())
+                if (!make_room())
                     co_await runtime::sleep_until(scheduler_, scheduler_.now() + accept_pause_ms);
-                else
-                    co_await runtime::sleep_until(scheduler_, scheduler_.now() + 1);
                 break;
         }
     }
 }
 
 void Server::take(runtime::Descriptor fd) {
-    if (connections_.size() >= most_) evict_idle();
     auto connection = std::make_shared<Connection>(scheduler_, std::move(fd));
     if (!connection->socket) return;
-    if (connections_.size() >= most_ + 16) {
-        connection->socket.write(
-            http::write_response(503, {{"Retry-After", "0.5"}, {"Connection", "close"}}, ""));
+    if (open_ >= limits_.connections && !make_room()) {
+        // Every other one has a request that is being answered. What has come is read: a close with bytes
+        // unread would take the answer with it.
+        connection->socket.read(scratch_.data(), scratch_.size());
+        connection->socket.write(reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
+        connection->socket.end_sending();
         return;
     }
-    connection->idle_since = scheduler_.now();
+    if (static_cast<double>(open_) > crowded_share * static_cast<double>(limits_.connections)) drop_spare();
+    connection->since = scheduler_.now();
+    ++open_;
     connections_.push_back(connection);
     scheduler_.spawn(serve(std::move(connection)));
 }
 
-bool Server::evict_idle() {
-    Connection* oldest = nullptr;
-    const auto rank = [this](const Connection& c) {
-        return std::pair(c.served || scheduler_.now() - c.idle_since < unused_ms, c.idle_since);
-    };
+// Who goes first: silent since it connected, or with a request that does not get on; kept but spare; the rest
+// of those without a request. Nobody whose request is being answered.
+int Server::rank_of(const Connection& c) const {
+    constexpr int stays = 4;
+    if (c.busy || c.evicted) return stays;
+    const double age = scheduler_.now() - c.since;
+    if (c.parser.started()) return age >= unfinished_ms ? 0 : stays;
+    if (!c.served) return age >= unused_ms ? 0 : 2;
+    return age >= spare_ms ? 1 : 3;
+}
+
+bool Server::make_room() {
+    for (int probes = 0; probes < most_probes; ++probes) {
+        Connection* first = nullptr;
+        const auto order = [this](const Connection& c) { return std::pair(rank_of(c), c.since); };
+        for (const auto& c : connections_)
+            if (rank_of(*c) < 4 && (first == nullptr || order(*c) < order(*first))) first = c.get();
+        if (first == nullptr) return false;
+        if (!first->parser.started() && first->socket.readable() && !first->socket.news_of_end()) {
+            first->since = scheduler_.now();  // its request is just coming
+            continue;
+        }
+        evict(*first);
+        return true;
+    }
+    return false;
+}
+
+// At once, not when its actor runs: the descriptor is needed now.
+void Server::evict(Connection& c) {
+    if (c.parser.started()) {
+        c.socket.write(reply(408, true));
+        c.socket.end_sending();
+    }
+    c.evicted = true;
+    c.socket.close();
+    --open_;
+    c.waker.notify();
+}
+
+void Server::drop_spare() {
     for (const auto& c : connections_)
-        if (!c->busy && !c->evicted && !c->parser.started() &&
-            (oldest == nullptr || rank(*c) < rank(*oldest)))
-            oldest = c.get();
-    if (oldest == nullptr) return false;
-    oldest->evicted = true;
-    oldest->waker.notify();
-    return true;
+        if (rank_of(*c) == 1 && !c->socket.readable()) evict(*c);
 }
 
 void Server::close_idle() {
-    for (const auto& c : connections_) {
-        c->evicted = true;
-        c->waker.notify();
-    }
+    for (const auto& c : connections_)
+        if (!c->busy && !c->evicted && !c->parser.started()) evict(*c);
 }
 
 // What a stream is answered without the core.
@@ -189,10 +238,20 @@
 }
 
 std::string Server::reply(const dispatch::Answer& answer, bool close) const {
+    using dispatch::Reply;
     http::HeaderList headers;
     if (close) headers.emplace_back("Connection", "close");
-    if (!answer.taken) headers.emplace_back("Retry-After", seconds(answer.pause_ms));
-    return http::write_response(answer.taken ? 202 : answer.full ? 503 : 429, headers, "");
+    int status = 503;
+    switch (answer.reply) {
+        case Reply::taken: status = 202; break;
+        case Reply::refused: status = 429; break;
+        case Reply::full:
+        case Reply::unlisted: break;
+        case Reply::nowhere: status = 404; break;
+        case Reply::conflict: status = 409; break;
+    }
+    if (status == 429 || status == 503) headers.emplace_back("Retry-After", seconds(answer.pause_ms));
+    return http::write_response(status, headers, "");
 }
 
 runtime::Task<void> Server::serve(std::shared_ptr<Connection> connection) {
@@ -209,14 +268,16 @@
         }
         c.busy = false;
         c.served = true;
-        c.idle_since = scheduler_.now();
-    }
-    const auto fault = c.parser.fault();
-    if (fault != http::Fault::none) {
-        close = co_await write_all(c, reply(http::status_of(fault), true));
+        c.since = scheduler_.now();
+        // Requests that wait one behind the other leave the others their turns.
+        if (!c.unread.empty()) co_await c.waker.wait(scheduler_.now());
     }
-    if (close) co_await linger(c);
+    if (!c.evicted && c.parser.fault() != http::Fault::none)
+        close = co_await write_all(c, reply(http::status_of(c.parser.fault()), true));
+    hold(c, 0);
+    if (close && !c.evicted) co_await linger(c);
     c.socket.close();
+    if (!c.evicted) --open_;
     connections_.remove(connection);
 }
 
@@ -227,8 +288,10 @@
     close = !request.keeps_alive() || winding_down_;
     if (request.target == "/up") co_return co_await write_all(c, page(request, close));
     auto read = read_stream(request, config_, scheduler_.now());
-    if (const int* const status = std::get_if<int>(&read))
+    if (const int* const status = std::get_if<int>(&read)) {
+        close = true;  // nothing that comes behind a faulty request is looked at
         co_return co_await write_all(c, reply(*status, close));
+    }
     auto& submission = std::get<dispatch::Submission>(read);
     submission.client = connection;
     submit_(std::move(submission));
@@ -238,39 +301,58 @@
         co_await c.waker.wait();
         answer = c.mailbox.take();
     }
-    close = close || winding_down_;
+    const bool faulty =
+        answer->reply == dispatch::Reply::nowhere || answer->reply == dispatch::Reply::conflict;
+    close = close || winding_down_ || faulty;
     const bool written = co_await write_all(c, reply(*answer, close));
     if (!written && answer->id != 0) untold_(answer->id);
     co_return written;
 }
 
+// Counts what a request holds of the memory that all requests that are being read share.
+bool Server::hold(Connection& c, std::size_t bytes) {
+    held_ += bytes;
+    held_ -= std::exchange(c.held, bytes);
+    return held_ <= limits_.request_bytes;
+}
+
 // Until a request is whole. False: the connection is over, or its request has a fault.
 runtime::Task<bool> Server::read_request(Connection& c) {
-    char part[16384];
     bool invited = false;
-    Time until = runtime::never;
+    Time until = c.served ? c.since + kept_ms : c.since + request_ms;
+    const auto feed = [&](std::string_view bytes) {
+        const bool before = c.parser.started();
+        const auto used = c.parser.feed(bytes);
+        if (!before && c.parser.started()) {
+            c.since = c.served ? scheduler_.now() : c.since;
+            until = c.since + request_ms;
+        }
+        return bytes.substr(used);
+    };
+    if (!c.unread.empty()) c.unread = std::string(feed(std::exchange(c.unread, {})));
     for (;;) {
-        if (!c.unread.empty()) {
-            const auto used = c.parser.feed(c.unread);
-            c.unread.erase(0, used);
+        if (c.parser.complete()) {
+            hold(c, 0);
+            co_return true;
         }
-        if (c.parser.complete()) co_return true;
         if (c.parser.fault() != http::Fault::none) co_return false;
-        if (c.parser.started() && until == runtime::never) until = scheduler_.now() + request_ms;
+        if (!hold(c, c.parser.message().body.capacity() + c.unread.capacity())) {
+            co_await write_all(c, reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
+            co_return false;
+        }
         if (c.parser.head_done() && !invited &&
             c.parser.message().headers.has_token("expect", "100-continue")) {
             invited = true;
             c.socket.write("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        const auto got = c.socket.read(part, sizeof part);
+        const auto got = c.socket.read(scratch_.data(), scratch_.size());
         if (got.io == runtime::Io::done) {
-            c.unread.append(part, got.count);
+            c.unread = feed({scratch_.data(), got.count});
             continue;
         }
         if (got.io != runtime::Io::blocked) co_return false;
-        if (c.evicted && !c.parser.started()) co_return false;
         if (scheduler_.now() >= until) {
-            co_await write_all(c, reply(408, true));
+            if (c.parser.started()) co_await write_all(c, reply(408, true));
             co_return false;
         }
         co_await c.waker.wait(until);
@@ -295,11 +377,10 @@
 // A close with bytes unread would reset the connection and take the answer with it.
 runtime::Task<void> Server::linger(Connection& c) {
     c.socket.end_sending();
-    char part[4096];
     std::size_t read = 0;
     const Time until = scheduler_.now() + linger_ms;
-    while (scheduler_.now() < until && read < most_linger) {
-        const auto got = c.socket.read(part, sizeof part);
+    while (!c.evicted && scheduler_.now() < until && read < most_linger) {
+        const auto got = c.socket.read(scratch_.data(), scratch_.size());
         if (got.io == runtime::Io::done) {
             read += got.count;
         } else if (got.io == runtime::Io::blocked) {
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -1,6 +1,7 @@
 // The downstream side: clients' connections, an actor each, and the ready page.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <list>
 #include <memory>
@@ -20,8 +21,13 @@
 
 class Server {
 public:
+    struct Limits {
+        std::size_t connections = 512;
+        std::size_t request_bytes = 4 << 20;  // of all requests that are being read
+    };
     using Submit = std::function<void(dispatch::Submission)>;
-    Server(runtime::Scheduler& scheduler, const config::Config& config, std::size_t most_connections);
+    Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits);
+    void limit(Limits limits) { limits_ = limits; }
 
     bool listen(runtime::Address address);
     void submit_to(Submit submit) { submit_ = std::move(submit); }
@@ -33,7 +39,7 @@
     void wind_down() { winding_down_ = true; }
     void stop_listening();
     void close_idle();
-    std::size_t open() const { return connections_.size(); }
+    std::size_t open() const { return open_; }
 
 private:
     class Connection;
@@ -46,16 +52,22 @@
     runtime::Task<bool> write_all(Connection& c, std::string text);
     runtime::Task<void> linger(Connection& c);
     void take(runtime::Descriptor fd);
-    bool evict_idle();
+    int rank_of(const Connection& c) const;
+    bool make_room();
+    void evict(Connection& c);
+    void drop_spare();
+    bool hold(Connection& c, std::size_t bytes);
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
-    std::size_t most_;
+    Limits limits_;
     runtime::Waker waker_;
     runtime::Socket listener_;
     std::list<std::shared_ptr<Connection>> connections_;
     Submit submit_;
     std::function<void(MessageId)> untold_;
+    std::size_t open_ = 0, held_ = 0;
+    std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
     bool ready_ = false, winding_down_ = false;
 };
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t most_headers = 100;
+constexpr int most_interim = 32;  // 1xx ahead of one answer; a peer that sends nothing else is not waited for
 
 bool is_token(std::string_view text) {
     static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
@@ -150,10 +151,10 @@
 }
 
 void Parser::on_start(const std::string& line) {
-    if (has_control(line)) return fail(Fault::malformed);
     const std::string_view text = line;
     std::string_view version;
     if (side_ == Side::request) {
+        if (has_control(line)) return fail(Fault::malformed);
         const auto first = text.find(' ');
         const auto last = text.rfind(' ');
         if (first == std::string_view::npos || last == first) return fail(Fault::malformed);
@@ -176,6 +177,8 @@
         return fail(version.starts_with("HTTP/") ? Fault::version : Fault::malformed);
     }
     message_.minor = version.back() - '0';
+    // After the status was read: a first line that says 200 stays true whatever noise it carries behind.
+    if (has_control(line)) return fail(Fault::malformed);
     phase_ = Phase::headers;
 }
 
@@ -193,6 +196,7 @@
     head_size_ = 0;
     const auto& headers = message_.headers;
     if (side_ == Side::response && message_.status < 200) {  // 100 Continue: the real answer follows
+        if (++interim_ > most_interim) return fail(Fault::malformed);
         message_ = {};
         phase_ = Phase::start;
         return;
@@ -235,6 +239,7 @@
     auto message = std::exchange(message_, {});
     phase_ = Phase::start;
     head_size_ = 0;
+    interim_ = 0;
     line_.clear();
     return message;
 }
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -60,6 +60,7 @@
     Message message_;
     std::string line_;
     std::size_t head_size_ = 0;
+    int interim_ = 0;
     std::uint64_t left_ = 0;
 };
 
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -11,6 +11,7 @@
         case 400: return "Bad Request";
         case 404: return "Not Found";
         case 405: return "Method Not Allowed";
+        case 409: return "Conflict";
         case 408: return "Request Timeout";
         case 413: return "Content Too Large";
         case 429: return "Too Many Requests";
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -30,6 +31,13 @@
 constexpr double fresh_list_ms = 100;
 // The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
 constexpr double disk_share = 0.8;
+constexpr double request_part = 16;  // of the memory, for requests that are being read
+
+downstream::Server::Limits downstream_limits(const config::Config& config) {
+    return {config.sockets / 2, static_cast<std::size_t>(config.memory_mb * 1e6 / request_part)};
+}
+
+std::size_t idle_limit(const config::Config& config) { return config.sockets / 4; }
 
 class Signals {
 public:
@@ -38,27 +46,54 @@
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         sigprocmask(SIG_BLOCK, &set, nullptr);
         signal(SIGPIPE, SIG_IGN);
         signal(SIGXFSZ, SIG_IGN);  // a journal that may not grow is a failed write, not the end
         fd_ = runtime::Descriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
         if (!fd_ || scheduler.watch(fd_.get(), waker) == 0) throw std::runtime_error("signals cannot be had");
     }
-    bool came() const {
+    // The next signal that came, 0 if there is none.
+    int next() const {
         signalfd_siginfo info;
-        return ::read(fd_.get(), &info, sizeof info) == sizeof info;
+        return ::read(fd_.get(), &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
     }
 
 private:
     runtime::Descriptor fd_;
 };
 
-runtime::Task<void> until_stopped(runtime::Scheduler& scheduler, dispatch::Dispatcher& dispatcher,
-                                  dispatch::Ledger& ledger, cluster::Notices& notices,
-                                  downstream::Server& server) {
-    runtime::Waker waker(scheduler);
-    const Signals signals(scheduler, waker);
-    while (!signals.came()) co_await waker.wait();
+// What a reload changes while the program runs. The rest of the config shapes the module and the journal, and
+// takes effect at the next start.
+void reload(const config::Config& running, cluster::Cluster& cluster, cluster::Notices& notices,
+            downstream::Server& server, upstream::Pool& pool) {
+    try {
+        const auto fresh = config::load_config();
+        const Sender usable(fresh.settings, fresh.seed);  // throws where the module could not work with them
+        const auto discovery = runtime::parse_address(fresh.discovery);
+        if (!discovery) throw config::BadConfig("the address of discovery cannot be read");
+        cluster.move_to(*discovery);
+        notices.move_to(*discovery);
+        server.limit(downstream_limits(fresh));
+        pool.keep_at_most(idle_limit(fresh));
+        if (fresh.classes != running.classes || fresh.tenants != running.tenants ||
+            fresh.listen != running.listen)
+            runtime::log("main", "classes, customers and the address served change at the next start only");
+        runtime::log("main", "config read again; discovery is at %s", fresh.discovery.c_str());
+    } catch (const std::exception& fault) {
+        runtime::log("main", "the config stays as it was: %s", fault.what());
+    }
+}
+
+runtime::Task<void> until_stopped(runtime::Scheduler& scheduler, runtime::Waker& waker,
+                                  const Signals& signals, std::function<void()> reload,
+                                  dispatch::Dispatcher& dispatcher, dispatch::Ledger& ledger,
+                                  cluster::Notices& notices, downstream::Server& server) {
+    for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
+        signal = signals.next();
+        if (signal == SIGHUP) reload();
+        if (signal == 0) co_await waker.wait();
+    }
     const Time told = scheduler.now();
     runtime::log("main", "told to stop: %zu messages are owed", ledger.held());
     server.wind_down();
@@ -84,6 +119,8 @@
     if (!discovery) throw config::BadConfig("the address of discovery cannot be read");
 
     runtime::Scheduler scheduler;
+    runtime::Waker signalled(scheduler);
+    const Signals signals(scheduler, signalled);  // from here on a signal waits until it can be served
     const auto half = static_cast<std::size_t>(config.disk_mb * 1e6 * disk_share / 2);
     journal::Log log(config.state_folder, half);
     dispatch::Ledger ledger(log);
@@ -93,12 +130,12 @@
     limits.dial_timeout_ms = config.dial_timeout_ms;
     if (config.settings.conn_idle_ms > 0) limits.conn_idle_ms = config.settings.conn_idle_ms;
     limits.drain_grace_ms = config.drain_grace_ms;
-    limits.most_idle = config.sockets / 4;
+    limits.most_idle = idle_limit(config);
     upstream::Pool pool(scheduler, limits);
     cluster::Notices notices(scheduler, *discovery);
     dispatch::Dispatcher dispatcher(scheduler, config.settings, config.seed, ledger, pool, notices);
     cluster::Cluster cluster(scheduler, config, *discovery, pool);
-    downstream::Server server(scheduler, config, config.sockets / 2);
+    downstream::Server server(scheduler, config, downstream_limits(config));
 
     auto& core = dispatcher.mailbox();
     pool.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
@@ -109,7 +146,8 @@
 
     if (!server.listen(*listen)) throw std::runtime_error("cannot listen on " + config.listen);
     const auto known = cluster::read_news(config.known, config);
-    const auto first = known ? cluster.apply(*known) : dispatch::Listed{};
+    auto first = known ? cluster.apply(*known) : dispatch::Listed{};
+    first.from_config = true;
     scheduler.spawn(cluster.run());
     scheduler.spawn(cluster.watch());
     for (const Time until = scheduler.now() + fresh_list_ms;
@@ -120,7 +158,9 @@
     scheduler.spawn(notices.run());
     server.ready(true);  // all that is owed is known; connections that came meanwhile wait in the queue
     scheduler.spawn(server.run());
-    scheduler.spawn(until_stopped(scheduler, dispatcher, ledger, notices, server));
+    const auto reread = [&] { reload(config, cluster, notices, server, pool); };
+    scheduler.spawn(
+        until_stopped(scheduler, signalled, signals, reread, dispatcher, ledger, notices, server));
     runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(),
                  ledger.held());
     scheduler.run();
--- a/src/runtime/mailbox.hpp
+++ b/src/runtime/mailbox.hpp
@@ -14,8 +14,9 @@
 public:
     explicit Mailbox(Waker& owner) : owner_(owner) {}
 
-    void put(Letter letter) {
-        letters_.push_back(std::move(letter));
+    template <class Content>
+    void put(Content&& letter) {
+        letters_.emplace_back(std::forward<Content>(letter));
         owner_.notify();
     }
     std::optional<Letter> take() {
--- a/src/upstream/outcome.cpp
+++ b/src/upstream/outcome.cpp
@@ -42,6 +42,7 @@
             return {ended.cause == Cause::timed_out ? Result::timeout : Result::reset, false, 0};
         case Progress::answered: break;
     }
+    if (ended.cause == Cause::spoilt) return {Result::error, false, 0};
     const double wait = told_wait(headers);
     switch (ended.status) {
         case 200: return {Result::ok, true, wait};
@@ -60,10 +61,10 @@
                            const std::vector<std::string>& names) {
     auto shared = fate_of(ended, answer.headers);
     // 400 and 413 to a bulk call say that nothing of it has run.
-    if (ended.progress == Progress::answered && (ended.status == 400 || ended.status == 413))
-        shared = {Result::moot, false, 0};
+    const bool sound = ended.progress == Progress::answered && ended.cause != Cause::spoilt;
+    if (sound && (ended.status == 400 || ended.status == 413)) shared = {Result::moot, false, 0};
     std::vector<Fate> fates(names.size(), shared);
-    if (ended.progress != Progress::answered || ended.status != 200) return fates;
+    if (!sound || ended.status != 200) return fates;
     const auto endings = http::read_endings(answer.body);
     std::map<std::string, std::string> by_name;
     if (endings) by_name.insert(endings->begin(), endings->end());
--- a/src/upstream/outcome.hpp
+++ b/src/upstream/outcome.hpp
@@ -12,7 +12,8 @@
 
 // How far an attempt came when it ended.
 enum class Progress { not_connected, connected, partly_written, fully_written, answered };
-enum class Cause { none, broken, timed_out, not_allowed };  // not_allowed: the rules forbade its first byte
+// not_allowed: the rules forbade its first byte; spoilt: an answer came that cannot be read.
+enum class Cause { none, broken, timed_out, not_allowed, spoilt };
 
 struct Ended {
     Progress progress = Progress::not_connected;
@@ -26,7 +27,8 @@
     double wait_ms = 0;
 };
 
-// Of one message; headers only where an answer came.
+// Of one message; headers only where an answer came. A spoilt answer comes from a host that has run the call:
+// nothing it says is believed, but for the first line of a single call's answer where that says 200.
 Fate fate_of(const Ended& ended, const http::Headers& headers);
 // Of each message of a bulk call, in the order of `names`.
 std::vector<Fate> fates_of(const Ended& ended, const http::Message& answer,
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -14,8 +14,10 @@
 constexpr double idle_share = 0.8;
 // A first byte this close to the end of the grace after a drain notice is not written any more.
 constexpr double grace_share = 0.75;
-constexpr double rest_ms = 1000;  // for the rest of an answer whose first line has told all
-constexpr http::Limits answer_limits{16 * 1024, 256 * 1024};
+// An answer that has begun ends within so long or is spoilt; for the rest of one whose first line has told
+// all there is less: the host counts the call as out until its answer is written or its connection ends.
+constexpr double answer_ms = 1000, rest_ms = 250;
+constexpr http::Limits answer_limits{16 * 1024, 64 * 1024};
 
 }  // namespace
 
@@ -35,6 +37,22 @@
     Time expires = 0, start_by = 0;
     bool bulk() const { return call.parcels.size() > 1; }
     bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
+    bool surplus = false;         // more came than belongs to the answer
+    Time begun = runtime::never;  // since when its answer has been coming
+    // Bytes of the answer; what follows it shows that the connection may serve no other call.
+    void feed(std::string_view bytes, Time now) {
+        surplus = parser.feed(bytes) < bytes.size() || surplus;
+        if (!parser.started())
+            begun = runtime::never;  // an interim answer was all
+        else
+            begun = std::min(begun, now);
+    }
+    bool unreadable() const { return parser.fault() != http::Fault::none; }
+    // Whether its connection can carry another call.
+    bool reusable() const {
+        return socket && parser.complete() && !surplus && parser.message().keeps_alive() &&
+               !socket.readable();
+    }
 };
 
 std::string Pool::request_of(const Flight& flight) const {
@@ -52,31 +70,45 @@
     return http::write_request("POST", "/inbox", headers, *parcel.body);
 }
 
-Pool::Host& Pool::host_of(EndpointId id) {
-    auto& host = hosts_[id];
+void Pool::relist(const HostState& state) {
+    auto& host = hosts_[state.id];
     if (!host) {
-        host = std::make_unique<Host>(scheduler_);
-        host->state.id = id;
-        scheduler_.spawn(run(*host));
+        host = std::make_shared<Host>(scheduler_);
+        host->state.id = state.id;
+        scheduler_.spawn(run(host));
     }
-    return *host;
+    host->mailbox.put(state);
+}
+
+void Pool::forget(EndpointId id) {
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end()) return;
+    found->second->mailbox.put(CloseIdle{true});
+    hosts_.erase(found);
 }
 
-void Pool::relist(const HostState& state) { host_of(state.id).mailbox.put(state); }
 void Pool::call(dispatch::Call call) {
-    auto& host = host_of(call.host);
-    host.mailbox.put(std::move(call));
+    if (const auto found = hosts_.find(call.host); found != hosts_.end())
+        return found->second->mailbox.put(std::move(call));
+    Flight flight(scheduler_, std::move(call));
+    flight.ended.cause = Cause::not_allowed;
+    land(flight);
 }
-void Pool::close_idle(EndpointId id) { host_of(id).mailbox.put(CloseIdle{}); }
 
-runtime::Task<void> Pool::run(Host& host) {
+void Pool::close_idle(EndpointId id) {
+    if (const auto found = hosts_.find(id); found != hosts_.end()) found->second->mailbox.put(CloseIdle{false});
+}
+
+runtime::Task<void> Pool::run(HostPtr own) {
+    auto& host = *own;
     const double lifetime = idle_share * settings_.conn_idle_ms;
     for (;;) {
         while (auto letter = host.mailbox.take()) {
             if (auto* const call = std::get_if<dispatch::Call>(&*letter)) {
-                scheduler_.spawn(carry(host, std::move(*call)));
-            } else if (std::holds_alternative<CloseIdle>(*letter)) {
+                scheduler_.spawn(carry(own, std::move(*call)));
+            } else if (const auto* const close = std::get_if<CloseIdle>(&*letter)) {
                 drop_idle(host, runtime::never);
+                if (close->for_good) co_return;
             } else {
                 const auto& state = std::get<HostState>(*letter);
                 if (state.address != host.state.address || !state.ready) drop_idle(host, runtime::never);
@@ -99,7 +131,7 @@
 // Gives up the connection that has been idle for longest, whosever it is.
 void Pool::shed_idle() {
     Host* oldest = nullptr;
-    for (const auto& [id, host] : hosts_)
+    for (auto& [id, host] : hosts_)
         if (!host->idle.empty() &&
             (oldest == nullptr || host->idle.front().since < oldest->idle.front().since))
             oldest = host.get();
@@ -135,7 +167,8 @@
     wait = std::max(wait, scheduler_.now() + fate.wait_ms);
 }
 
-runtime::Task<void> Pool::carry(Host& host, dispatch::Call call) {
+runtime::Task<void> Pool::carry(HostPtr own, dispatch::Call call) {
+    auto& host = *own;
     Flight flight(scheduler_, std::move(call));
     flight.start_by = runtime::never;
     for (const auto& parcel : flight.call.parcels) {
@@ -145,12 +178,11 @@
     co_await exchange(host, flight);
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
-    if (!answered || flight.ended.cause == Cause::broken) flight.socket.close();
+    if (!answered || flight.ended.cause != Cause::none) flight.socket.close();
     if (answered) heed(host, fate_of(flight.ended, flight.parser.message().headers));
     land(flight);
     if (flight.socket && !flight.parser.complete()) co_await read_answer(flight);
-    if (flight.socket && flight.parser.complete() && flight.parser.message().keeps_alive())
-        give_back(host, std::move(flight.socket));
+    if (flight.reusable()) give_back(host, std::move(flight.socket));
 }
 
 runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
@@ -177,7 +209,7 @@
     // The call may have waited for its connection while the list, a told wait or its window moved on.
     const Time now = scheduler_.now();
     ended.cause = Cause::not_allowed;
-    if (now > host.left_at + grace_share * settings_.drain_grace_ms || now < wait_of(host) ||
+    if (host.state.gone || now > host.left_at + grace_share * settings_.drain_grace_ms || now < wait_of(host) ||
         now > flight.start_by || now >= flight.expires)
         co_return;
     const std::string text = request_of(flight);
@@ -188,26 +220,29 @@
     while (!flight.told()) {
         const auto got = flight.socket.read(part, sizeof part);
         if (got.io == runtime::Io::done) {
-            const std::string_view bytes(part, got.count);
-            if (flight.parser.feed(bytes) < bytes.size() && flight.parser.complete()) break;
-            if (flight.parser.fault() == http::Fault::none) continue;
+            flight.feed({part, got.count}, scheduler_.now());
+            if (!flight.unreadable() || flight.told()) continue;
+            ended.cause = Cause::spoilt;
+            break;
         }
         if (got.io == runtime::Io::blocked) {
             land_due(flight);
+            if (scheduler_.now() >= flight.begun + answer_ms) {
+                ended.cause = Cause::spoilt;
+                break;
+            }
             if (scheduler_.now() >= flight.expires) {
                 ended.cause = Cause::timed_out;
                 co_return;
             }
-            co_await flight.waker.wait(next_due(flight));
+            co_await flight.waker.wait(std::min(next_due(flight), flight.begun + answer_ms));
             continue;
         }
         flight.parser.end();
-        if (!flight.told()) {
-            // The first line of a single call's answer tells its outcome, whatever becomes of the rest.
-            ended.cause = Cause::broken;
-            if (flight.bulk() || !flight.parser.has_status()) co_return;
-        }
-        break;
+        if (flight.told()) break;
+        // Cut short, it has told nothing that can be relied on: a line that says 503 may be noise.
+        ended.cause = Cause::broken;
+        co_return;
     }
     ended.progress = Progress::answered;
     ended.status = flight.parser.message().status;
@@ -237,15 +272,14 @@
 runtime::Task<void> Pool::read_answer(Flight& flight) {
     char part[4096];
     const Time until = scheduler_.now() + rest_ms;
-    while (!flight.parser.complete() && scheduler_.now() < until) {
+    while (!flight.parser.complete() && !flight.unreadable() && scheduler_.now() < until) {
         const auto got = flight.socket.read(part, sizeof part);
         if (got.io == runtime::Io::blocked) {
             co_await flight.waker.wait(until);
             continue;
         }
         if (got.io != runtime::Io::done) co_return;
-        flight.parser.feed({part, got.count});
-        if (flight.parser.fault() != http::Fault::none) co_return;
+        flight.feed({part, got.count}, scheduler_.now());
     }
 }
 
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -21,6 +21,7 @@
     std::uint16_t destination = 0;
     bool apart = false;  // waits bind this host alone, not its whole destination
     bool ready = false;
+    bool gone = false;  // nothing reaches it any more: its address may be another host's by now
 };
 
 struct PoolSettings {
@@ -37,16 +38,21 @@
 
     void report_to(Report report) { report_ = std::move(report); }
     void relist(const HostState& state);
+    // A host that has long been gone; calls that are out still end.
+    void forget(EndpointId host);
     void call(dispatch::Call call) override;
     void close_idle(EndpointId host) override;
     std::size_t idle() const { return idle_; }
+    void keep_at_most(std::size_t idle) { settings_.most_idle = idle; }
 
 private:
     struct Idle {
         runtime::Socket socket;
         Time since = 0;
     };
-    struct CloseIdle {};
+    struct CloseIdle {
+        bool for_good = false;  // the host is forgotten, and its actor ends
+    };
     using Letter = std::variant<dispatch::Call, CloseIdle, HostState>;
     struct Host {
         explicit Host(runtime::Scheduler& scheduler) : waker(scheduler), mailbox(waker) {}
@@ -58,11 +64,11 @@
         std::deque<Idle> idle;          // the latest used last
     };
     struct Flight;
+    using HostPtr = std::shared_ptr<Host>;  // its actor and each of its calls hold it
 
     std::string request_of(const Flight& flight) const;
-    Host& host_of(EndpointId id);
-    runtime::Task<void> run(Host& host);
-    runtime::Task<void> carry(Host& host, dispatch::Call call);
+    runtime::Task<void> run(HostPtr host);
+    runtime::Task<void> carry(HostPtr host, dispatch::Call call);
     runtime::Task<void> exchange(Host& host, Flight& flight);
     runtime::Task<bool> write_all(Flight& flight, const std::string& text);
     runtime::Task<void> read_answer(Flight& flight);
@@ -79,7 +85,7 @@
     runtime::Scheduler& scheduler_;
     PoolSettings settings_;
     Report report_;
-    std::map<EndpointId, std::unique_ptr<Host>> hosts_;
+    std::map<EndpointId, HostPtr> hosts_;
     std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
 };
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -32,13 +32,14 @@
         start
         c1 send POST /nothing HTTP/1.1\r\nContent-Length: 0\r\n\r\n
         c1 expect HTTP/1.1 404
-        c1 send GET /safe HTTP/1.1\r\n\r\n
-        c1 expect HTTP/1.1 405
-        c1 send POST /safe HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n
-        c1 expect HTTP/1.1 400
-        c1 send POST /safe HTTP/1.1\r\nContent-Length: 65537\r\n\r\n
-        c1 expect HTTP/1.1 413
         c1 closed
+        c5 send GET /safe HTTP/1.1\r\n\r\n
+        c5 expect HTTP/1.1 405
+        c6 send POST /safe HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n
+        c6 expect HTTP/1.1 400
+        c7 send POST /safe HTTP/1.1\r\nContent-Length: 65537\r\n\r\n
+        c7 expect HTTP/1.1 413
+        c7 closed
         c2 send \x00\x01\x02 nonsense\r\n\r\n
         c2 expect HTTP/1.1 400
         c3 send POST /safe HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n
@@ -233,7 +234,7 @@
         d1 expect GET /discovery/hosts?stream=1&index=1
         d1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n
         c1 send POST /safe HTTP/1.1\r\nReq-Id: m1\r\nContent-Length: 9\r\n\r\nhel
-        c1 absent HTTP 2500
+        c1 absent HTTP 1500
         c1 expect HTTP/1.1 408
         c1 closed
         wait 1000
@@ -313,5 +314,165 @@
               "");
 }
 
+// A reload moves the watch and the notices and keeps what is held; a config that cannot be read changes
+// nothing.
+TEST(Dispatcher, MovesToTheDiscoveryThatAReloadNames) {
+    EXPECT_EQ(play(R"(
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=1
+        d1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n
+        c1 post safe m1 1500m 9
+        c1 expect 202
+        reload bad
+        c1 post safe m2 8000m 1
+        h1 expect Req-Id: m2
+        h1 answer 200
+        reload e
+        d1 closed
+        e1 expect GET /discovery/hosts?stream=1&index=1
+        e1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        e1 send 5b\r\n{"rev":2,"all":false,"targets":[{"uid":"s-1","endpoint":"","pod_group":1,"state":"Gone"}]}\n\r\n
+        e expect "id":"m1","status":"deferred"
+        e answer 204
+        d absent outcomes 50
+        reload d
+        d expect GET /discovery/hosts?stream=1&index=2
+        c1 post safe m3 8000m 1
+        c1 expect 202
+        h absent POST 200
+    )"),
+              "");
+}
+
+// What could hide another request in it is not read on, and nothing behind a faulty request is parsed.
+TEST(Dispatcher, LooksAtNothingBehindAFaultyRequest) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 send POST /safe HTTP/1.1\r\nReq-Id: a\r\nReq-Id: b\r\nReq-Owner: acme\r\nReq-Deadline: 900m\r\nX-Addressing: dest=1\r\nContent-Length: 0\r\n\r\nGET /up HTTP/1.1\r\n\r\n
+        c1 expect HTTP/1.1 400
+        c1 absent HTTP 100
+        c1 closed
+        c2 send POST /safe HTTP/1.1\r\nContent-Length: -5\r\n\r\nGET /up HTTP/1.1\r\n\r\n
+        c2 expect HTTP/1.1 400
+        c2 absent HTTP 100
+        c2 closed
+        c3 send POST /safe HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n
+        c3 expect HTTP/1.1 400
+        c3 closed
+        c4 post safe m1 nonsense 1
+        c4 expect HTTP/1.1 400
+        c4 closed
+        c5 send POST /safe HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n
+        c5 expect HTTP/1.1 413
+        c5 closed
+    )"),
+              "");
+}
+
+// A destination that no list has named is nobody's: a reply at once, not a message that waits out its time.
+TEST(Dispatcher, TakesNothingOnForADestinationThatIsNotListed) {
+    EXPECT_EQ(play(R"(
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=1
+        c1 post safe m1 8000m 77
+        c1 expect HTTP/1.1 503
+        c1 expect Retry-After
+        d1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+        d1 send 5b\r\n{"rev":2,"all":false,"targets":[{"uid":"s-2","endpoint":"","pod_group":2,"state":"Gone"}]}\n\r\n
+        wait 100
+        c1 post safe m2 8000m 77
+        c1 expect HTTP/1.1 404
+        c1 closed
+        c2 post safe m3 8000m 2
+        c2 expect HTTP/1.1 202
+    )"),
+              "");
+}
+
+// An id that another client's message has, or had until a moment ago, starts no second one.
+TEST(Dispatcher, StartsNoSecondMessageUnderAnIdThatIsTaken) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m1 8000m 1
+        c1 expect 202
+        h expect Req-Id: m1
+        c2 post payment m1 8000m 1 9
+        c2 expect HTTP/1.1 409
+        c2 closed
+        h answer 200
+        wait 50
+        c3 post payment m1 8000m 1 9
+        c3 expect HTTP/1.1 409
+        c4 post payment m1 8000m 1
+        c4 expect HTTP/1.1 202
+        h absent Req-Id: m1 300
+    )"),
+              "");
+}
+
+// Silent connections and half requests by the hundred neither stay nor keep a client with a request out.
+TEST(Dispatcher, ServesItsClientsThroughAFloodOfSilentConnections) {
+    std::string script = "start\nc900 post safe m0 8000m 1\nc900 expect HTTP/1.1 202\nwait 2200\n";
+    for (int i = 0; i < 300; ++i) {
+        const auto c = "c" + std::to_string(i);
+        script += c + (i < 20 ? " send \\n\n" : " send POST /safe HTTP/1.1\\r\\nReq-Id:\n");
+    }
+    script += "wait 450\nc901 post safe m1 8000m 9\nc901 expect HTTP/1.1 202\n";
+    script += "wait 1800\nc0 closed\nc299 closed\nc298 closed\nc901 post safe m2 8000m 9\nc901 expect 202\n";
+    EXPECT_EQ(play(script), "");
+}
+
+// An answer that cannot be read tells nothing: its call may have run, whatever its first line says but 200.
+TEST(Dispatcher, BelievesNothingOfASpoiltAnswerButALineThatSays200) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m0 8000m 1
+        h1 expect Req-Id: m0
+        h1 send HTTP/1.1 200 \x01\x02\r\n\x00\xff
+        h1 closed
+        c1 post payment m1 8000m 1
+        h2 expect Req-Id: m1
+        h2 send HTTP/1.1 503 X\r\nContent-Length: 3000000000\r\n\r\nxx
+        d expect {"id":"m1","status":"undeliverable"}
+        d answer 204
+        h2 closed
+        c1 post payment m2 8000m 2
+        g1 expect Req-Id: m2
+        g1 send HTTP/1.1 429 X\r\nContent-Length: -1\r\nX-RateLimit-Wait-Ms: 5000\r\n\r\n
+        d expect {"id":"m2","status":"undeliverable"}
+        d answer 204
+        c1 post payment m3 8000m 2
+        g2 expect Req-Id: m3
+        g2 send HTTP/1.1 503 X\r\nfoo
+        d expect {"id":"m3","status":"undeliverable"}
+        d answer 204
+        g2 closed
+        d absent "id":"m0" 10
+    )"),
+              "");
+}
+
+// Good answers may bring more than belongs to them: believed, and the connection serves no other call.
+TEST(Dispatcher, ReusesNoConnectionWithSurplusOnIt) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 send HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n
+        c1 post payment m2 8000m 1
+        h1 expect Req-Id: m2
+        h1 send HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n
+        h1 closed
+        c1 post payment m3 8000m 1
+        h2 expect Req-Id: m3
+        h2 send HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\nnoise
+        h2 closed
+        h3 expect Req-Id: m3
+        h3 answer 200
+        d absent outcomes 100
+    )"),
+              "");
+}
+
 }  // namespace
 }  // namespace brasslift::test
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -125,6 +125,12 @@
             if (size >= limit) throw Fault("the folder holds " + std::to_string(size));
             return;
         }
+        if (who == "reload") {
+            in >> what;
+            write_config(what == "bad" ? "" : listener(what[0]).address());
+            if (what == "bad") std::ofstream(folder_ + "/config.json") << "{\"settings\":";
+            return signal_child(SIGHUP);
+        }
         if (who == "exits") {
             int code = 0;
             in >> code;
@@ -226,7 +232,7 @@
     // The peers of that name: one, or for a single letter all that have come.
     std::vector<Peer*> all(const std::string& who) {
         if (who[0] == 'c') return {&peer(who)};
-        Listener& at = who[0] == 'h' ? host1_ : who[0] == 'g' ? host2_ : discovery_;
+        Listener& at = listener(who[0]);
         for (pollfd state{at.fd.get(), POLLIN, 0}; ::poll(&state, 1, 0) > 0;)
             peers_[who[0] + std::to_string(++counts_[who[0]])].fd =
                 Descriptor(::accept4(at.fd.get(), nullptr, nullptr, SOCK_CLOEXEC));
@@ -236,6 +242,10 @@
         return found;
     }
 
+    Listener& listener(char name) {
+        return name == 'h' ? host1_ : name == 'g' ? host2_ : name == 'e' ? moved_ : discovery_;
+    }
+
     Peer& peer(const std::string& who) {
         if (who[0] != 'c') {
             if (who.size() == 1 && matched_[who[0]] != nullptr) return *matched_[who[0]];
@@ -253,13 +263,13 @@
         return p;
     }
 
-    std::string entry(const char* uid, const Listener& at, int dest) const {
+    std::string entry(const char* uid, const Listener& at, int dest, const char* state = "Ready") const {
         return std::string("{\"uid\":\"") + uid + "\",\"endpoint\":\"" + at.address() +
-               "\",\"az\":\"a\",\"model\":\"many\",\"pod_group\":" + std::to_string(dest) +
-               ",\"state\":\"Ready\",\"capacity_hint\":50.0,\"boot_ms\":0}";
+               "\",\"az\":\"a\",\"model\":\"many\",\"pod_group\":" + std::to_string(dest) + ",\"state\":\"" +
+               state + "\",\"capacity_hint\":50.0,\"boot_ms\":0}";
     }
 
-    void write_config() const {
+    void write_config(const std::string& discovery = "") const {
         const auto cls = [](const char* name, const char* repeat) {
             return std::string("{\"name\":\"") + name + "\",\"idempotency\":\"" + repeat +
                    "\",\"dedup_scope\":\"all\",\"deadline_ms\":16000.0,\"objective_ms\":2000.0,"
@@ -267,9 +277,11 @@
                    "\"late_share\":0.5,\"key_ttl_ms\":5000.0}";
         };
         std::ofstream(folder_ + "/config.json")
-            << "{\"name\":\"n1\",\"seed\":\"1f\",\"limits\":{\"sockets\":256,\"disk_mb\":3},\"known\":{"
+            << "{\"name\":\"n1\",\"discovery\":\"" << discovery
+            << "\",\"seed\":\"1f\",\"limits\":{\"sockets\":256,\"disk_mb\":3},\"known\":{"
                "\"rev\":1,\"all\":true,"
-            << "\"targets\":[" << entry("s-1", host1_, 1) << ',' << entry("s-2", host2_, 2)
+            << "\"targets\":[" << entry("s-1", host1_, 1) << ',' << entry("s-2", host2_, 2) << ','
+            << entry("s-9", host2_, 9, "Terminating")  // a destination without hosts
             << "]},\"settings\":{\"specifics\":"
             << "{\"workers\":8,\"batch_by_kind\":[3],\"kind_apart\":[true],\"fades\":\"halves\",\"toll\":[0."
                "0]},\"bounds\":"
@@ -326,7 +338,7 @@
 
     std::string folder_;
     std::uint16_t port_ = 0;
-    Listener discovery_, host1_, host2_;
+    Listener discovery_, moved_, host1_, host2_;
     std::map<std::string, Peer> peers_;
     std::map<char, int> counts_;
     std::map<char, Peer*> matched_;  // the connection that the latest expect of a letter was met on
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -1,14 +1,23 @@
 // A small scenario language: scripted loopback peers round the real program.
 //
-//   start [LIMIT [FILES]]  starts brasslift (files of LIMIT bytes, FILES open at once); `kill`, `term`,
-//   `exits CODE` tear                   leaves half a record at the journal's end; `folder-below BYTES` wait
-//   MS PEER send TEXT         \r, \n, \xHH as in C; a client connects with its first line PEER expect TEXT
-//   TEXT comes within 2 s; what came before it is dropped PEER absent TEXT MS    TEXT does not come for so
-//   long PEER close | half-close | closed PEER post CLASS ID DEADLINE DEST [SIZE]    a client's request PEER
-//   answer STATUS [HEADER: VALUE]         an empty HTTP answer
+// clang-format off
+//   start [LIMIT [FILES]]       starts brasslift (files of LIMIT bytes, FILES open at once)
+//   kill | term | exits CODE
+//   tear                        leaves half a record at the journal's end
+//   folder-below BYTES
+//   reload PEER | reload bad    the config names that peer as discovery, or cannot be read; SIGHUP
+//   wait MS
+//   PEER send TEXT              \r, \n, \xHH as in C; a client connects with its first line
+//   PEER expect TEXT            it comes within 2 s; what came before it is dropped
+//   PEER absent TEXT MS         it does not come for so long
+//   PEER close | half-close | closed
+//   PEER post CLASS ID DEADLINE DEST [SIZE]    a client's request
+//   PEER answer STATUS [HEADER: VALUE]         an empty HTTP answer
 //
 // Peers: c... are clients; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
-// those to host 2; d1, d2 those to discovery. A letter alone is whichever of them it comes on.
+// those to host 2; d1, d2 those to discovery, e1 to the one that a reload names. A letter alone is whichever
+// of them it comes on.
+// clang-format on
 #pragma once
 
 #include <string>
