Tell the module of spoilt answers as such: they are no outage

Cause: outcome.cpp reported a spoilt answer as an error, and Choice::weigh judges errors as an outage: two in a row put a lane out, hold payments back and pace its return, though the endpoint answers all the time. Now Result::spoilt: it may have run and is repeated or failed by its class, health is left alone, and if no delivery bears that out within 2 s the lane is doubted as after other excused failures. A bulk answer that cannot be read is spoilt as well. The new test of the module fails without its case in weigh().

--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -98,7 +98,8 @@
     std::uint16_t destination = 0;
 };
 
-enum class Result { ok, error, full, timeout, connect_failed, reset, cancelled, moot };
+// spoilt: it ran, or may have, and an answer came that cannot be read; says nothing of the endpoint's health.
+enum class Result { ok, error, full, timeout, connect_failed, reset, cancelled, moot, spoilt };
 
 using Report = std::vector<double>;
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -140,7 +140,8 @@
 };
 
 bool may_have_run(Result r) {
-    return r == Result::error || r == Result::timeout || r == Result::reset || r == Result::cancelled;
+    return r == Result::error || r == Result::timeout || r == Result::reset || r == Result::cancelled ||
+           r == Result::spoilt;
 }
 
 void require(bool good, const char* setting) {
@@ -789,6 +790,10 @@
                 judge(e.health, true, false, sent, false, 0);
                 break;
             case Result::full: heed_full(lane, e, wait_ms, sent); break;
+            case Result::spoilt:
+                // The endpoint is there and answers: no outage, unless no delivery bears that out soon.
+                lane.health.doubt = std::min(lane.health.doubt, now_);
+                break;
             case Result::connect_failed:
                 e.unconnected_at = now_;
                 // Beside successes a failed connect means a full table.
--- a/src/upstream/outcome.cpp
+++ b/src/upstream/outcome.cpp
@@ -42,7 +42,7 @@
             return {ended.cause == Cause::timed_out ? Result::timeout : Result::reset, false, 0};
         case Progress::answered: break;
     }
-    if (ended.cause == Cause::spoilt) return {Result::error, false, 0};
+    if (ended.cause == Cause::spoilt) return {Result::spoilt, false, 0};
     const double wait = told_wait(headers);
     switch (ended.status) {
         case 200: return {Result::ok, true, wait};
@@ -68,6 +68,7 @@
     const auto endings = http::read_endings(answer.body);
     std::map<std::string, std::string> by_name;
     if (endings) by_name.insert(endings->begin(), endings->end());
+    if (!endings) return std::vector<Fate>(names.size(), {Result::spoilt, false, 0});
     for (std::size_t i = 0; i < names.size(); ++i) {
         const auto found = by_name.find(names[i]);
         // An answer that leaves a message out says nothing of it: it may have run.
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -549,6 +549,21 @@
     EXPECT_NE(tries[0].second.endpoint, failed);
 }
 
+// An answer that cannot be read is no outage: what it spoilt is repeated or failed, the rest goes on.
+TEST(Sender, SpoiltAnswersLeaveTheEndpointInUse) {
+    Rig rig;
+    rig.list(0, 0, 1, 1);
+    Time now = rig.warm(10, 0, endpoint(1), 6, 100);
+    for (MessageId id = 1; id <= 4; ++id) {
+        rig.arrive(now, id, id == 4 ? 2 : 0);
+        ASSERT_EQ(rig.count<Attempt>(), 1) << "message " << id;
+        rig.land(now + 100, id, Result::spoilt, endpoint(1));
+        EXPECT_EQ(rig.count<Fail>(), id == 4 ? 1 : 0);  // unsafe: it may have run
+        now += 110;
+    }
+    EXPECT_EQ(rig.run<Attempt>(now + 2000).size(), 3u);
+}
+
 // Idle connections of 200 senders fill a table of a dozen.
 TEST(Sender, IdleConnectionsAreClosedWhereConnectsFail) {
     Rig rig(many_senders());
