Prefer routes with a lower fee where several of a destination are open

Checked: the fee is per message and by the route's zone, routes of one destination differ in zone. The new test fails without the term.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,7 +28,8 @@
 constexpr double timeout_deviations = 10, least_timeout_ms = 2000, unsafe_patience = 4, most_stretch = 6;
 constexpr double most_aims = 2;  // no time-out beyond so many aims before it is stretched
 constexpr double quiet_deviations = 4, least_quiet_ms = 500;  // no answer at all for so long: silent
-constexpr double fast_gain = 0.25;                            // weight of a new sample in a quick mean
+constexpr double toll_weight = 2;   // of a route's fee against worth, where routes are chosen
+constexpr double fast_gain = 0.25;  // weight of a new sample in a quick mean
 // Pace: share of the listed limit beyond an even split, moved by refusals and spare room.
 constexpr double pace_up = 0.02, pace_up_told = 0.08, pace_down = 0.75, due_down = 0.9, least_pace = 0.4;
 constexpr double pace_depth_ms = 500, cut_gap_ms = 500, room_left = 0.5, room_gone = 0.15;
@@ -160,6 +161,7 @@
             require(c.deadline_ms > 0 && c.aim_ms > 0 && c.worth >= 0 && c.late_share >= 0, "classes");
         for (const auto& k : s_.kinds) require(k.batch >= 1, "batch");
         overall_.resize(s_.classes.size());
+        for (const auto& c : s_.classes) mean_worth_ += c.worth / static_cast<double>(s_.classes.size());
         tables_.resize(s_.kinds.size());
         tenants_.resize(s_.tenant_rates.size(), {1, -never});
     }
@@ -543,6 +545,17 @@
         set_timer(at, TimerKind::wake, static_cast<std::uint64_t>(destination));
     }
 
+    // What its route costs, in worth: the site counts it by message, in shares of a message's mean worth.
+    double toll_of(const Lane& lane) const {
+        double toll = never;
+        for (const int e : lane.endpoints) {
+            const auto zone = endpoints_[e].zone;
+            if (endpoints_[e].state == ListingState::ready)
+                toll = std::min(toll, zone < s_.zone_toll.size() ? s_.zone_toll[zone] : 0);
+        }
+        return toll < never ? toll_weight * toll * mean_worth_ : 0;
+    }
+
     // Given up, and its client told, once its lane takes it too late and no call is out that may change that.
     Pick choose(int destination) {
         Pick best;
@@ -550,11 +563,12 @@
         if (d.waiting == 0) return best;
         for (const int l : d.lanes) {
             refresh_sick(l);
+            const double toll = toll_of(lanes_[l]);
             for (std::size_t g = 0; g < d.ready.size(); ++g) {
                 if (d.ready[g].empty()) continue;
                 auto& m = messages_.at(candidate(d.ready[g], lanes_[l], static_cast<int>(g) / 2));
                 const double expected = expected_ms(lanes_[l], m.message_class);
-                const double score = worth_at(m, now_ + expected) / expected;
+                const double score = (worth_at(m, now_ + expected) - toll) / expected;
                 if (score <= best.score) continue;
                 const auto [endpoint, again] = endpoint_for(l, m);
                 best.again = std::min(best.again, again);
@@ -968,6 +982,7 @@
     Settings s_;
     std::mt19937_64 random_;
     Time now_ = 0;
+    double mean_worth_ = 0;
     std::vector<Action>* out_ = nullptr;
     bool asked_ = false, backlog_here_ = false;
     int ask_failures_ = 0, slots_used_ = 0, sick_flying_ = 0;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -549,6 +549,27 @@
     EXPECT_NE(tries[0].second.endpoint, failed);
 }
 
+// Of two routes that may both be used the one with the lower fee is; the other takes what is too much for it.
+TEST(Sender, TheRouteWithTheLowerFeeComesFirst) {
+    auto s = settings();
+    s.kinds = {{true, 1}};
+    s.zone_toll = {0.06, 0};
+    Rig rig(s);
+    Listing dear, cheap;
+    dear.endpoint = endpoint(1);
+    cheap.endpoint = endpoint(2);
+    dear.weight = cheap.weight = 2;
+    cheap.zone = 1;
+    const Listing lines[] = {dear, cheap};
+    rig.tell(0, ListUpdate{.entries = lines});
+    rig.arrive(10, 1, 0);
+    ASSERT_EQ(rig.count<Attempt>(), 1);
+    EXPECT_EQ(rig.first<Attempt>()->endpoint, endpoint(2));
+    rig.arrive(11, 2, 0);
+    ASSERT_EQ(rig.count<Attempt>(), 1);
+    EXPECT_EQ(rig.first<Attempt>()->endpoint, endpoint(1));
+}
+
 // An answer that cannot be read is no outage: what it spoilt is repeated or failed, the rest goes on.
 TEST(Sender, SpoiltAnswersLeaveTheEndpointInUse) {
     Rig rig;
