--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,6 +13,10 @@
 // one that is handed in under such an id again is no new message, and may not run a second time.
 constexpr std::size_t most_remembered = 4096;
 constexpr double remembered_ms = 30000;
+// When to come again with a message whose attempts, as an operator's policy allows them, are spent.
+constexpr double spent_pause_ms = 1000;
+
+plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
 
 }  // namespace
 
@@ -27,6 +31,31 @@
       upstream_(upstream),
       outbox_(outbox) {}
 
+void Dispatcher::plan_by(std::shared_ptr<const plan::Plan> plan) {
+    now_ = scheduler_.now();
+    std::vector<plan::Gate::Held> held;
+    for (const auto& [id, m] : ledger_.all())
+        if (m.ending == Ending::none) held.push_back({id, subject_of(m), m.body->size()});
+    for (const auto& [id, candidate] : candidates_)
+        held.push_back({id, subject_of(candidate.message), candidate.message.body->size()});
+    if (!plan) {
+        gate_.reset();
+    } else if (gate_) {
+        gate_->change(std::move(plan), now_, held);
+    } else {
+        gate_ = std::make_unique<plan::Gate>(std::move(plan), now_);
+        for (const auto& m : held) gate_->restore(m.id, m.subject, m.bytes);
+    }
+    // What waits goes by the new caps; pools may have other numbers now.
+    parked_until_.clear();
+    for (auto& [route, waiting] : std::exchange(parked_, {}))
+        for (const auto& parked : waiting) {
+            --flying_;
+            const auto* const m = ledger_.find(parked.attempt.id);
+            send(parked.attempt, gate_ && m != nullptr ? gate_->path(subject_of(*m)).pool : 0);
+        }
+}
+
 void Dispatcher::recover(const Listed& known) {
     now_ = scheduler_.now();
     // Once a life: a step of the wall clock while it runs moves no deadline.
@@ -63,7 +92,8 @@
 runtime::Task<void> Dispatcher::run() {
     const double tick = std::max(1.0, settings_.tick_ms);
     for (;;) {
-        const Time due = timers_.empty() ? never : timers_.begin()->first;
+        const Time due = std::min(timers_.empty() ? never : timers_.begin()->first,
+                                  parked_until_.empty() ? never : parked_until_.begin()->first);
         if (mailbox_.empty() && scheduler_.now() < due) {
             co_await waker_.wait(due);
             continue;
@@ -84,6 +114,7 @@
         timers_.erase(timers_.begin());
         tell(TimerFired{timer});
     }
+    expire_parked();
     perform();
 }
 
@@ -102,7 +133,7 @@
         std::visit([this](const auto& a) { do_action(a); }, action);
     }
     withdrawn_.clear();
-    for (auto& [host, calls] : calls_)
+    for (auto& [route, calls] : calls_)
         for (auto& call : calls) upstream_.call(std::move(call));
     calls_.clear();
     if (!actions_.empty()) perform();  // what withdrawals led to
@@ -132,8 +163,15 @@
     m.message_class = s.message_class;
     m.tenant = s.tenant;
     m.destination = s.destination;
-    m.due_wall = s.due + wall_offset_;
     m.body = std::move(s.body);
+    if (gate_) {
+        const auto mark = print ^ (std::size_t{m.tenant} + 1) * 0x9e3779b97f4a7c15U;
+        const auto admission = gate_->admit(now_, m.id, subject_of(m), m.body->size(), mark, s.again);
+        // Pauses are told in whole milliseconds: one that is rounded down would be too early.
+        if (!admission.admitted) return client->answer({Reply::refused, std::ceil(admission.pause_ms), 0});
+        if (admission.deadline_ms > 0) s.due = std::min(s.due, now_ + admission.deadline_ms);
+    }
+    m.due_wall = s.due + wall_offset_;
     candidate.client = s.client;
     Arrival arrival;
     arrival.id = m.id;
@@ -179,9 +217,11 @@
         const auto client = candidate.client.lock();
         const auto name = candidate.message.name;
         if (!client) {
+            if (gate_) gate_->undo(id);
             withdrawn_.insert(id);
             tell(Withdrawn{id});
         } else if (ledger_.take(std::move(candidate.message)) == nullptr) {
+            if (gate_) gate_->undo(id);
             client->answer({Reply::full, full_pause_ms, 0});
             withdrawn_.insert(id);
             tell(Withdrawn{id});
@@ -197,11 +237,13 @@
     auto* const m = ledger_.find(untold.id);
     if (m == nullptr || m->ending != Ending::none) return;
     ledger_.end(*m, Ending::done, 0);
+    if (gate_) gate_->undo(untold.id);
     tell(Withdrawn{untold.id});
 }
 
 void Dispatcher::on(const Verdict& v) {
     if (flying_ > 0) --flying_;
+    landed(v.id, v.attempt);
     Outcome outcome;
     outcome.id = v.id;
     outcome.endpoint = v.host;
@@ -214,8 +256,17 @@
     if (auto* const m = ledger_.find(v.id); m != nullptr) {
         outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
         ledger_.outcome(*m, v.result);
-        if (auto* const left = ledger_.find(v.id); left != nullptr && outcome.over)
+        auto* const left = ledger_.find(v.id);
+        if (left != nullptr && outcome.over) {
+            if (left->ending == Ending::none) let_go(v.id);
             ledger_.end(*left, Ending::done, 0);
+        } else if (left != nullptr && gate_ && !left->flying) {
+            const int most = gate_->path(subject_of(*left)).attempts;
+            if (most > 0 && left->attempts >= most) {
+                end(*left, left->may_have_run ? Ending::failed : Ending::deferred, spent_pause_ms);
+                outcome.over = true;
+            }
+        }
     }
     tell(outcome);
 }
@@ -259,14 +310,73 @@
     const int number = m->attempts;
     const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
                            number < settings_.max_attempts;
-    if (!permitted || !ledger_.attempt(*m, now_ + wall_offset_, host->second.zone))
-        return not_sent(attempt, number, false);
-    ++flying_;
+    if (!permitted) return not_sent(attempt, number, false);
+    std::size_t pool = 0;
+    if (gate_) {
+        const auto path = gate_->path(subject_of(*m));
+        if (!within_plan(*m, attempt, path)) return;
+        pool = path.pool;
+    }
+    send(attempt, pool);
+}
+
+// Whether the operators' policies allow one attempt more; else the message ends at once, before it.
+bool Dispatcher::within_plan(Owed& m, const Attempt& attempt, const plan::Gate::Path& path) {
+    const bool spent = path.attempts > 0 && m.attempts >= path.attempts;
+    const double pause = spent ? spent_pause_ms : m.attempts > 0 ? gate_->retry(now_, subject_of(m)) : 0;
+    if (pause > 0) {
+        const int number = m.attempts;
+        end(m, m.may_have_run ? Ending::failed : Ending::deferred, std::ceil(pause));
+        not_sent(attempt, number, true);
+        return false;
+    }
+    if (m.attempts == 0) gate_->first_attempt(now_, subject_of(m));
+    return true;
+}
+
+std::size_t Dispatcher::calls_cap(std::size_t pool) const {
+    if (pool == 0 || !gate_ || pool > gate_->plan().rules().pools.size()) return 0;
+    const auto& rule = gate_->plan().rules().pools[pool - 1];
+    const auto connections = rule.connections_per_host.value_or(0);
+    return rule.calls_per_host.value_or(connections);
+}
+
+void Dispatcher::send(const Attempt& attempt, std::size_t pool) {
+    auto* const m = ledger_.find(attempt.id);
+    const auto host = hosts_.find(attempt.endpoint.address);
+    if (m == nullptr || m->ending != Ending::none || m->flying || host == hosts_.end() ||
+        host->second.destination != m->destination)
+        return not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+    const int number = m->attempts;
     const auto kind = host->second.kind;
     const auto room =
         static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
-    auto& calls = calls_[attempt.endpoint];
-    if (calls.empty() || calls.back().parcels.size() >= room) calls.push_back({attempt.endpoint, now_, {}});
+    const Route route{attempt.endpoint, pool};
+    const auto cap = calls_cap(pool);
+    auto& calls = calls_[route];
+    const bool fresh = calls.empty() || calls.back().parcels.size() >= room;
+    if (fresh && cap > 0 && open_calls_[route] >= cap) {
+        // It has not begun: no record says that it has.
+        const Time due = m->due_wall - wall_offset_;
+        const Time until = attempt.start_by > 0  ? std::min(attempt.start_by, due)
+                           : attempt.expires > 0 ? std::min(attempt.expires, due)
+                                                 : due;
+        ++flying_;
+        parked_[route].push_back({attempt, until});
+        parked_until_.emplace(until, route);
+        return;
+    }
+    if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) return not_sent(attempt, number, false);
+    ++flying_;
+    if (fresh) calls.push_back({attempt.endpoint, now_, {}, gate_ ? gate_->pool(pool) : nullptr});
+    if (cap > 0) {
+        if (fresh) ++open_calls_[route];
+        const auto beside = fresh ? open_.end() : open_.find(calls.back().parcels.back().id);
+        auto call =
+            beside == open_.end() ? std::make_shared<OpenCall>(OpenCall{route, 0}) : beside->second.second;
+        ++call->left;
+        open_.insert_or_assign(m->id, std::pair(number, std::move(call)));
+    }
     Parcel parcel;
     parcel.id = m->id;
     parcel.name = m->name;
@@ -279,8 +389,61 @@
     calls.back().parcels.push_back(std::move(parcel));
 }
 
+// A message of a capped call has landed; the last one makes room for what waits.
+void Dispatcher::landed(MessageId id, int attempt) {
+    const auto found = open_.find(id);
+    if (found == open_.end() || found->second.first != attempt) return;
+    const auto call = std::move(found->second.second);
+    open_.erase(found);
+    if (--call->left > 0) return;
+    if (const auto count = open_calls_.find(call->route); count != open_calls_.end() && --count->second == 0)
+        open_calls_.erase(count);
+    unpark(call->route);
+}
+
+void Dispatcher::unpark(const Route& route) {
+    const auto found = parked_.find(route);
+    if (found == parked_.end()) return;
+    const auto parked = found->second.front();
+    found->second.pop_front();
+    if (found->second.empty()) parked_.erase(found);
+    --flying_;
+    // Others may have come before it in the meantime; then it goes to the end of a queue that is short.
+    if (parked.until > now_) return send(parked.attempt, route.second);
+    const auto* const m = ledger_.find(parked.attempt.id);
+    not_sent(parked.attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+}
+
+// Attempts that found no room in their time never ran; the module decides anew.
+void Dispatcher::expire_parked() {
+    while (!parked_until_.empty() && parked_until_.begin()->first <= now_) {
+        const auto route = parked_until_.begin()->second;
+        parked_until_.erase(parked_until_.begin());
+        const auto found = parked_.find(route);
+        if (found == parked_.end()) continue;
+        auto& waiting = found->second;
+        std::vector<Attempt> over;
+        std::erase_if(waiting, [&](const Parked& p) {
+            if (p.until > now_) return false;
+            over.push_back(p.attempt);
+            return true;
+        });
+        if (waiting.empty()) parked_.erase(found);
+        for (const auto& attempt : over) {
+            --flying_;
+            const auto* const m = ledger_.find(attempt.id);
+            not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+        }
+    }
+}
+
+void Dispatcher::let_go(MessageId id) {
+    if (gate_) gate_->release(now_, id);
+}
+
 void Dispatcher::do_action(const Refuse& refuse) {
     if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
+        if (gate_) gate_->undo(refuse.id);
         if (const auto client = waiting->second.client.lock())
             client->answer({Reply::refused, refuse.pause_ms, 0});
         coming_.erase(waiting->second.message.name);
@@ -297,6 +460,7 @@
 void Dispatcher::end(Owed& m, Ending ending, double again_ms) {
     if (m.ending != Ending::none) return;
     const auto again = static_cast<std::uint32_t>(std::clamp(again_ms, 0.0, 1e6));
+    let_go(m.id);
     ledger_.end(m, ending, again);
     outbox_.tell({m.id, m.name, ending, again});
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 
 #include "dispatch/ledger.hpp"
 #include "dispatch/types.hpp"
+#include "plan/gate.hpp"
 #include "runtime/mailbox.hpp"
 
 namespace brasslift::dispatch {
@@ -19,6 +20,9 @@
     Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed, Ledger& ledger,
                Upstream& upstream, Outbox& outbox);
 
+    // From now on the operators' plan narrows what comes in and goes out; nullptr: nothing does. What is held
+    // stays counted.
+    void plan_by(std::shared_ptr<const plan::Plan> plan);
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
     void recover(const Listed& known);
     runtime::Task<void> run();
@@ -40,6 +44,18 @@
     void on(const Listed& listed);
     void on(const Told& told);
     void on(const Stop& stop);
+    void on(const Planned& planned) { plan_by(planned.plan); }
+
+    // Calls of a pool to a host, where the pool caps them.
+    using Route = std::pair<EndpointId, std::size_t>;
+    struct OpenCall {
+        Route route;
+        std::size_t left = 0;  // messages that have not landed
+    };
+    struct Parked {  // an attempt that waits until its host has room for a call
+        Attempt attempt;
+        Time until = 0;
+    };
 
     void tell(const Event& event);
     void perform();
@@ -56,6 +72,13 @@
     void remember(const std::string& name, std::size_t print);
     void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
+    void let_go(MessageId id);
+    bool within_plan(Owed& message, const Attempt& attempt, const plan::Gate::Path& path);
+    std::size_t calls_cap(std::size_t pool) const;
+    void send(const Attempt& attempt, std::size_t pool);
+    void landed(MessageId id, int attempt);
+    void unpark(const Route& route);
+    void expire_parked();
     void not_sent(const Attempt& attempt, int number, bool over);
 
     runtime::Scheduler& scheduler_;
@@ -74,7 +97,13 @@
     std::unordered_map<std::string, std::size_t> ids_;  // taken on of late, with their prints
     std::deque<std::pair<Time, std::string>> remembered_;
     std::set<MessageId> withdrawn_;  // not taken on after the module had seen them; in this turn only
-    std::map<EndpointId, std::deque<Call>> calls_;
+    std::map<Route, std::deque<Call>> calls_;
+    std::unique_ptr<plan::Gate> gate_;
+    std::unordered_map<MessageId, std::pair<int, std::shared_ptr<OpenCall>>>
+        open_;  // by attempt; under a cap only
+    std::map<Route, std::size_t> open_calls_;
+    std::map<Route, std::deque<Parked>> parked_;
+    std::multimap<Time, Route> parked_until_;
     std::unordered_map<std::uint32_t, Listing> hosts_;
     std::set<std::uint16_t> destinations_;  // that some list has named; one may be without hosts for a while
     bool list_heard_ = false;               // from discovery, since the start
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "brasslift/sender.hpp"
+#include "plan/plan.hpp"
 #include "runtime/scheduler.hpp"
 
 namespace brasslift::dispatch {
@@ -15,8 +16,8 @@
 using runtime::never;
 
 // What becomes of a stream: taken on, or a local reply. `full`: no room, or no journal; `refused`: by the
-// module; `unlisted`: its destination is in no list so far, and discovery has not spoken yet; `nowhere`: it
-// has; `conflict`: another message was handed in under that id.
+// module, or by a route or limit of the operators'; `unlisted`: its destination is in no list so far, and
+// discovery has not spoken yet; `nowhere`: it has; `conflict`: another message was handed in under that id.
 enum class Reply { taken, refused, full, unlisted, nowhere, conflict };
 
 // The answer to a stream, with the time after which to come again where it may.
@@ -39,6 +40,7 @@
     std::uint16_t message_class = 0, tenant = 0, destination = 0;
     Time due = 0;
     std::shared_ptr<const std::string> body;
+    bool again = false;  // the client says that it was refused before
     std::weak_ptr<Client> client;
 };
 
@@ -60,6 +62,7 @@
     EndpointId host;
     Time decided = 0;
     std::vector<Parcel> parcels;
+    std::shared_ptr<const plan::PoolRule> pool;  // whose connection settings hold; none: the dispatcher's own
 };
 
 struct Verdict {
@@ -95,7 +98,12 @@
     Time at = 0;
 };
 
-using Letter = std::variant<Submission, Untold, Verdict, Listed, Told, Stop>;
+// The operators' plan from now on; none: nothing narrows what the module is offered.
+struct Planned {
+    std::shared_ptr<const plan::Plan> plan;
+};
+
+using Letter = std::variant<Submission, Untold, Verdict, Listed, Told, Stop, Planned>;
 
 // The ports that a front fills.
 class Upstream {
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 // No peer holds a connection for nothing. Whoever connects is owed an answer or a close within 3 s; clients
-// leave 400 ms after their request, so one that takes longer than `request_ms` is nobody's. Counted from the
+// leave 400 ms after their request, so one that takes longer than its limit is nobody's. Counted from the
 // connect for the first request, from its first byte for a later one; a connection that stays silent has
 // silent_ms.
-constexpr double request_ms = 2000, silent_ms = 2700, write_ms = 2000, linger_ms = 300;
+constexpr double silent_ms = 2700, write_ms = 2000, linger_ms = 300;
 // Kept connections without a request may close after 2 s. They do where the table fills up, and where one has
 // been held for so long that its client has forgotten it.
 constexpr double spare_ms = 2100, kept_ms = 15000;
@@ -98,17 +98,18 @@
     s.tenant = static_cast<std::uint16_t>(std::max(0, tenant));
     s.destination = static_cast<std::uint16_t>(destination);
     s.due = now + span;
+    s.again = h.count("Req-Retry") > 0;
     s.body = std::make_shared<const std::string>(std::move(request.body));
     return s;
 }
 
 class Server::Connection : public dispatch::Client {
 public:
-    Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd)
+    Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd, http::Limits limits)
         : waker(scheduler),
           mailbox(waker),
           socket(scheduler, std::move(fd), waker),
-          parser(http::Parser::Side::request) {}
+          parser(http::Parser::Side::request, limits) {}
     // Whoever has ended its sending before it was answered may hand the message in elsewhere at once.
     bool present() const override { return socket && !socket.news_of_end(); }
     void answer(const dispatch::Answer& answer) override { mailbox.put(answer); }
@@ -159,7 +160,7 @@
 }
 
 void Server::take(runtime::Descriptor fd) {
-    auto connection = std::make_shared<Connection>(scheduler_, std::move(fd));
+    auto connection = std::make_shared<Connection>(scheduler_, std::move(fd), limits_.request);
     if (!connection->socket) return;
     if (open_ >= limits_.connections && !make_room()) {
         // Every other one has a request that is being answered. What has come is read: a close with bytes
@@ -328,7 +329,7 @@
         const auto used = c.parser.feed(bytes);
         if (!before && c.parser.started()) {
             c.since = c.served ? scheduler_.now() : c.since;
-            until = c.since + request_ms;
+            until = c.since + limits_.request_ms;
         }
         return bytes.substr(used);
     };
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -24,6 +24,8 @@
     struct Limits {
         std::size_t connections = 512;
         std::size_t request_bytes = 4 << 20;  // of all requests that are being read
+        http::Limits request = {};            // of one
+        double request_ms = 2000;             // within which it is whole
     };
     using Submit = std::function<void(dispatch::Submission)>;
     Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits);
--- /dev/null
+++ b/src/lang/bind.cpp
@@ -0,0 +1,319 @@
+#include "lang/bind.hpp"
+
+#include <google/protobuf/descriptor.h>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <optional>
+
+#include "lang/units.hpp"
+
+namespace brasslift::lang {
+
+namespace pb = google::protobuf;
+using config::v1::Rule;
+
+void Places::put(const pb::Message& message, const std::string& file, const Field& field) {
+    known_[&message].at = {file, field.line, field.column};
+}
+
+Place Places::of(const pb::Message& message) const {
+    const auto found = known_.find(&message);
+    return found == known_.end() ? Place{} : found->second.at;
+}
+
+Place Places::of(const pb::Message& message, std::string_view field, int index) const {
+    const auto found = known_.find(&message);
+    if (found == known_.end()) return {};
+    const auto values = found->second.fields.find(std::string(field));
+    if (values == found->second.fields.end() || index >= static_cast<int>(values->second.size()))
+        return found->second.at;
+    return values->second[static_cast<std::size_t>(index)];
+}
+
+bool Places::tried(const pb::Message& message, const std::string& field) const {
+    const auto found = known_.find(&message);
+    if (found == known_.end()) return false;
+    const auto& known = found->second;
+    return known.fields.count(field) != 0 || std::find(known.meant.begin(), known.meant.end(), field) != known.meant.end();
+}
+
+const Rule& rule_of(const pb::FieldDescriptor& field) { return field.options().GetExtension(config::v1::rule); }
+
+namespace {
+
+std::optional<Unit> unit_of(config::v1::Kind kind) {
+    switch (kind) {
+        case config::v1::DURATION: return Unit::duration;
+        case config::v1::SIZE: return Unit::size;
+        case config::v1::RATE: return Unit::rate;
+        case config::v1::SHARE: return Unit::share;
+        default: return std::nullopt;
+    }
+}
+
+bool name_char(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+bool is_name(std::string_view text) {
+    constexpr std::size_t most_name = 64;
+    return !text.empty() && text.size() <= most_name && std::all_of(text.begin(), text.end(), name_char) &&
+           text[0] != '-' && text[0] != '.' && text[0] != '_';
+}
+
+bool is_number(std::string_view text) {
+    return !text.empty() && text.size() <= 5 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
+           std::stoi(std::string(text)) <= 65535;
+}
+
+Misread misread_name(std::string_view text) {
+    return {'"' + std::string(text.substr(0, 80)) + "\" is no name",
+            "use letters, digits, '-', '_' and '.', a letter or digit first, at most 64"};
+}
+
+std::optional<Misread> judge_destination(std::string_view text) {
+    const bool digits_only = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return (c >= '0' && c <= '9') || c == '-'; });
+    if (!digits_only) {
+        const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
+        if (is_name(stem)) return std::nullopt;
+        return Misread{'"' + std::string(text.substr(0, 80)) + "\" is no destination",
+                       "write a number, a range like \"10-19\", a name, or the beginning of one and '*'"};
+    }
+    const auto dash = text.find('-');
+    if (dash == std::string_view::npos) {
+        if (is_number(text)) return std::nullopt;
+        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is beyond the last destination", "write a number up to 65535"};
+    }
+    const auto from = text.substr(0, dash), to = text.substr(dash + 1);
+    if (!is_number(from) || !is_number(to))
+        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is no range of destinations", "write two numbers up to 65535, like \"10-19\""};
+    if (std::stoi(std::string(from)) > std::stoi(std::string(to)))
+        return Misread{'"' + std::string(text) + "\" is a range that ends before it begins",
+                       "write \"" + std::string(to) + '-' + std::string(from) + '"'};
+    return std::nullopt;
+}
+
+// What is wrong with a text by its rule.
+std::optional<Misread> judge_text(const Rule& rule, const std::string& text) {
+    if (const auto unit = unit_of(rule.kind())) {
+        const auto read = read_quantity(*unit, text);
+        if (const auto* const misread = std::get_if<Misread>(&read)) return *misread;
+        const auto value = std::get<Quantity>(read).value;
+        const auto bound = [&](const std::string& written) { return std::get<Quantity>(read_quantity(*unit, written)).value; };
+        if (!rule.least().empty() && value < bound(rule.least()))
+            return Misread{'"' + text + "\" is less than \"" + rule.least() + '"', "write \"" + rule.least() + "\" or more"};
+        if (!rule.most().empty() && value > bound(rule.most()))
+            return Misread{'"' + text + "\" is more than \"" + rule.most() + '"', "write \"" + rule.most() + "\" or less"};
+        return std::nullopt;
+    }
+    switch (rule.kind()) {
+        case config::v1::NAME: return is_name(text) ? std::nullopt : std::optional(misread_name(text));
+        case config::v1::PATTERN: {
+            const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
+            if (is_name(stem)) return std::nullopt;
+            return Misread{'"' + text.substr(0, 80) + "\" is no name and no beginning of one",
+                           text == "*" ? "leave the field out: then everything matches" : "write a name, with '*' only at its end"};
+        }
+        case config::v1::DESTINATION: return judge_destination(text);
+        case config::v1::LABEL: {
+            const auto equals = text.find('=');
+            if (equals != std::string::npos && is_name(text.substr(0, equals)) && is_name(text.substr(equals + 1))) return std::nullopt;
+            return Misread{'"' + text.substr(0, 80) + "\" is no label", "write it as \"key=value\""};
+        }
+        case config::v1::PATH:
+            if (!text.empty()) return std::nullopt;
+            return Misread{"an empty path", "write the file's path, relative to this file"};
+        default: return std::nullopt;
+    }
+}
+
+std::string list_of(const std::vector<std::string>& names) {
+    std::string all;
+    for (const auto& name : names) all += (all.empty() ? "" : ", ") + name;
+    return all;
+}
+
+}  // namespace
+
+std::string canonical(const pb::FieldDescriptor& field, const std::string& text) {
+    const auto unit = unit_of(rule_of(field).kind());
+    if (!unit) return text;
+    const auto read = read_quantity(*unit, text);
+    return std::holds_alternative<Quantity>(read) ? write_quantity(*unit, std::get<Quantity>(read)) : text;
+}
+
+class Binder {
+public:
+    Binder(const std::string& file, Places& places, Findings& findings) : file_(file), places_(places), findings_(findings) {}
+
+    void block(const std::vector<Field>& fields, pb::Message& into) {
+        const auto& type = *into.GetDescriptor();
+        for (const auto& field : fields) {
+            const std::string name(field.name);
+            const auto* const known = type.FindFieldByName(name);
+            if (known == nullptr) {
+                unknown(field, type, into);
+                continue;
+            }
+            auto& places = places_.known_[&into].fields[name];
+            if (!known->is_repeated() && !places.empty()) {
+                error(field.line, field.column,
+                      '\'' + name + "' is given twice; the first is at " + to_text(places.front()),
+                      "keep one of them");
+                continue;
+            }
+            if (field.kind == Field::Kind::list) {
+                if (!known->is_repeated()) {
+                    error(field.value_line, field.value_column, '\'' + name + "' takes one value, not a list", "write the value without brackets");
+                    continue;
+                }
+                for (const auto& item : field.children) value(item, *known, into);
+            } else {
+                value(field, *known, into);
+            }
+        }
+    }
+
+private:
+    void error(int line, int column, std::string what, std::string fix) {
+        findings_.error({file_, line, column}, std::move(what), std::move(fix));
+    }
+
+    void unknown(const Field& field, const pb::Descriptor& type, const pb::Message& into) {
+        std::vector<std::string> names;
+        for (int i = 0; i < type.field_count(); ++i) names.push_back(type.field(i)->name());
+        const auto near = nearest(field.name, names);
+        if (!near.empty()) places_.known_[&into].meant.push_back(near);
+        error(field.line, field.column, type.name() + " has no field '" + std::string(field.name.substr(0, 80)) + '\'',
+              near.empty() ? "use one of " + list_of(names) : "write '" + near + '\'');
+    }
+
+    void value(const Field& field, const pb::FieldDescriptor& known, pb::Message& into) {
+        const int line = field.value_line, column = field.value_column;
+        const bool message = known.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE;
+        if (message != (field.kind == Field::Kind::block)) {
+            error(line, column, message ? '\'' + known.name() + "' is a block" : '\'' + known.name() + "' is a single value",
+                  message ? "write " + known.name() + " { ... }" : "write " + known.name() + ": VALUE");
+            return;
+        }
+        const auto* const reflection = into.GetReflection();
+        if (message) {
+            auto* const sub = known.is_repeated() ? reflection->AddMessage(&into, &known) : reflection->MutableMessage(&into, &known);
+            // The place of an entry of a list is its own, that of a named block is its name's.
+            places_.put(*sub, file_, field);
+            places_.known_[&into].fields[known.name()].push_back({file_, field.line, field.column});
+            block(field.children, *sub);
+            return;
+        }
+        places_.known_[&into].fields[known.name()].push_back({file_, line, column});
+        const auto& first = field.value.front();
+        const auto say = [&](const std::string& what, const std::string& fix) { error(line, column, what, fix); };
+        const auto shown = '\'' + std::string(first.text.substr(0, 40)) + '\'';
+        switch (known.cpp_type()) {
+            case pb::FieldDescriptor::CPPTYPE_STRING: return text(field, known, into);
+            case pb::FieldDescriptor::CPPTYPE_ENUM: {
+                std::vector<std::string> names;
+                for (int i = 0; i < known.enum_type()->value_count(); ++i)
+                    if (known.enum_type()->value(i)->number() != 0) names.push_back(known.enum_type()->value(i)->name());
+                const auto* const chosen = first.kind == Token::Kind::name && field.value.size() == 1
+                                               ? known.enum_type()->FindValueByName(std::string(first.text))
+                                               : nullptr;
+                if (chosen == nullptr || chosen->number() == 0) {
+                    const auto near = nearest(first.text, names);
+                    return say(shown + " is no value of '" + known.name() + '\'', near.empty() ? "use one of " + list_of(names) : "write " + near);
+                }
+                if (known.is_repeated())
+                    reflection->AddEnum(&into, &known, chosen);
+                else
+                    reflection->SetEnum(&into, &known, chosen);
+                return;
+            }
+            case pb::FieldDescriptor::CPPTYPE_INT32:
+            case pb::FieldDescriptor::CPPTYPE_UINT32: return whole(field, known, into);
+            default: return say("fields of this type are not supported", "");
+        }
+    }
+
+    void whole(const Field& field, const pb::FieldDescriptor& known, pb::Message& into) {
+        const auto say = [&](const std::string& what, const std::string& fix) { error(field.value_line, field.value_column, what, fix); };
+        const auto& last = field.value.back();
+        const bool negative = field.value.size() > 1;
+        const auto shown = std::string(negative ? "-" : "") + std::string(last.text.substr(0, 40));
+        const auto& rule = rule_of(known);
+        const bool is_signed = known.cpp_type() == pb::FieldDescriptor::CPPTYPE_INT32;
+        std::int64_t value = 0;
+        const auto [end, fault] = std::from_chars(last.text.data(), last.text.data() + last.text.size(), value);
+        if (last.kind != Token::Kind::number || (fault == std::errc{} && end != last.text.data() + last.text.size()) || fault == std::errc::invalid_argument)
+            return say((last.kind == Token::Kind::text ? std::string("a text") : '\'' + shown + '\'') + " is no whole number", "write digits alone, without quotes");
+        const auto bound = [](const std::string& written, std::int64_t standard) { return written.empty() ? standard : std::stoll(written); };
+        const auto least = bound(rule.least(), is_signed ? std::numeric_limits<std::int32_t>::min() : 0);
+        const auto most = bound(rule.most(), is_signed ? std::numeric_limits<std::int32_t>::max() : std::numeric_limits<std::uint32_t>::max());
+        if (negative) value = -value;
+        if (fault == std::errc::result_out_of_range || value > most)
+            return say(shown + " is more than " + std::to_string(most), "write " + std::to_string(most) + " or less");
+        if (value < least) return say(shown + " is less than " + std::to_string(least), "write " + std::to_string(least) + " or more");
+        const auto* const reflection = into.GetReflection();
+        if (is_signed)
+            reflection->SetInt32(&into, &known, static_cast<std::int32_t>(value));
+        else
+            reflection->SetUInt32(&into, &known, static_cast<std::uint32_t>(value));
+    }
+
+    void text(const Field& field, const pb::FieldDescriptor& known, pb::Message& into) {
+        std::string all;
+        for (const auto& part : field.value) {
+            if (part.kind != Token::Kind::text) {
+                const auto written = (field.value.size() > 1 ? "-" : "") + std::string(field.value.back().text.substr(0, 40));
+                return error(field.value_line, field.value_column, '\'' + known.name() + "' is a text", "write it in quotes: \"" + written + '"');
+            }
+            const auto read = unquote(part.text);
+            if (!read.fault.empty())
+                return error(part.line, part.column + static_cast<int>(read.fault_at), read.fault, "write '\\\\' for a backslash");
+            all += read.text;
+        }
+        if (first_bad_utf8(all) != std::string_view::npos || all.find('\0') != std::string::npos)
+            return error(field.value_line, field.value_column, "the text's escapes make no UTF-8 text", "write the characters themselves");
+        if (const auto wrong = judge_text(rule_of(known), all)) return error(field.value_line, field.value_column, wrong->what, wrong->fix);
+        const auto* const reflection = into.GetReflection();
+        if (known.is_repeated())
+            reflection->AddString(&into, &known, std::move(all));
+        else
+            reflection->SetString(&into, &known, std::move(all));
+    }
+
+    const std::string& file_;
+    Places& places_;
+    Findings& findings_;
+};
+
+void bind(const Tree& tree, pb::Message& into, Places& places, Findings& findings) {
+    Binder(tree.file, places, findings).block(tree.fields, into);
+}
+
+void check_required(const pb::Message& message, const Places& places, Findings& findings) {
+    const auto& type = *message.GetDescriptor();
+    const auto* const reflection = message.GetReflection();
+    for (int i = 0; i < type.field_count(); ++i) {
+        const auto& field = *type.field(i);
+        const bool message_type = field.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE;
+        if (field.is_repeated()) {
+            for (int n = 0; message_type && n < reflection->FieldSize(message, &field); ++n)
+                check_required(reflection->GetRepeatedMessage(message, &field, n), places, findings);
+            continue;
+        }
+        // A field that was there and could not be read has had its finding.
+        const auto at = places.of(message);
+        const bool written = places.tried(message, field.name());
+        if (reflection->HasField(message, &field)) {
+            if (message_type) check_required(reflection->GetMessage(message, &field), places, findings);
+        } else if (rule_of(field).required() && !written) {
+            auto entry = type.name();
+            entry[0] = static_cast<char>(entry[0] | 0x20);
+            findings.error(at, "this " + entry + " has no '" + field.name() + '\'', "add " + field.name() + ": ...");
+        }
+    }
+}
+
+}  // namespace brasslift::lang
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,8 @@
 
 #include "cluster/cluster.hpp"
 #include "cluster/notices.hpp"
+#include "commands/config_command.hpp"
+#include "commands/platform.hpp"
 #include "config/config.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/ledger.hpp"
@@ -31,13 +33,23 @@
 constexpr double fresh_list_ms = 100;
 // The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
 constexpr double disk_share = 0.8;
-constexpr double request_part = 16;  // of the memory, for requests that are being read
 
-downstream::Server::Limits downstream_limits(const config::Config& config) {
-    return {config.sockets / 2, static_cast<std::size_t>(config.memory_mb * 1e6 / request_part)};
+std::size_t part_of(double whole, double part) { return static_cast<std::size_t>(whole * part); }
+
+downstream::Server::Limits downstream_limits(const config::Config& config, const plan::Bounds& bounds) {
+    return {part_of(static_cast<double>(config.sockets), bounds.client_descriptors),
+            part_of(config.memory_mb * 1e6, bounds.request_memory),
+            {bounds.head, bounds.body},
+            bounds.request_ms};
+}
+
+std::size_t idle_limit(const config::Config& config, const plan::Bounds& bounds) {
+    return part_of(static_cast<double>(config.sockets), bounds.idle_descriptors);
 }
 
-std::size_t idle_limit(const config::Config& config) { return config.sockets / 4; }
+plan::Bounds bounds_of(const std::shared_ptr<const plan::Plan>& plan) {
+    return plan ? plan->rules().bounds : plan::Bounds{};
+}
 
 class Signals {
 public:
@@ -64,18 +76,23 @@
 };
 
 // What a reload changes while the program runs. The rest of the config shapes the module and the journal, and
-// takes effect at the next start.
-void reload(const config::Config& running, cluster::Cluster& cluster, cluster::Notices& notices,
-            downstream::Server& server, upstream::Pool& pool) {
+// takes effect at the next start. The operators' file holds whole from now on; a fault in either file and
+// both stay as they were.
+void reload(const config::Config& running, const std::string& operators, dispatch::Dispatcher& dispatcher,
+            cluster::Cluster& cluster, cluster::Notices& notices, downstream::Server& server,
+            upstream::Pool& pool) {
     try {
         const auto fresh = config::load_config();
         const Sender usable(fresh.settings, fresh.seed);  // throws where the module could not work with them
         const auto discovery = runtime::parse_address(fresh.discovery);
         if (!discovery) throw config::BadConfig("the address of discovery cannot be read");
+        // Judged by what runs: classes and tenants keep their places until the next start.
+        auto plan = commands::load_plan(operators, running);
         cluster.move_to(*discovery);
         notices.move_to(*discovery);
-        server.limit(downstream_limits(fresh));
-        pool.keep_at_most(idle_limit(fresh));
+        server.limit(downstream_limits(fresh, bounds_of(plan)));
+        pool.keep_at_most(idle_limit(fresh, bounds_of(plan)));
+        if (plan) dispatcher.mailbox().put(dispatch::Planned{std::move(plan)});
         if (fresh.classes != running.classes || fresh.tenants != running.tenants ||
             fresh.listen != running.listen)
             runtime::log("main", "classes, customers and the address served change at the next start only");
@@ -111,8 +128,9 @@
     scheduler.stop();
 }
 
-int serve() {
+int serve(const std::string& operators) {
     const auto config = config::load_config();
+    const auto plan = commands::load_plan(operators, config);
     const auto listen = runtime::parse_address(config.listen);
     const auto discovery = runtime::parse_address(config.discovery);
     if (!listen) throw config::BadConfig("the address to listen on cannot be read");
@@ -130,12 +148,12 @@
     limits.dial_timeout_ms = config.dial_timeout_ms;
     if (config.settings.conn_idle_ms > 0) limits.conn_idle_ms = config.settings.conn_idle_ms;
     limits.drain_grace_ms = config.drain_grace_ms;
-    limits.most_idle = idle_limit(config);
+    limits.most_idle = idle_limit(config, bounds_of(plan));
     upstream::Pool pool(scheduler, limits);
     cluster::Notices notices(scheduler, *discovery);
     dispatch::Dispatcher dispatcher(scheduler, config.settings, config.seed, ledger, pool, notices);
     cluster::Cluster cluster(scheduler, config, *discovery, pool);
-    downstream::Server server(scheduler, config, downstream_limits(config));
+    downstream::Server server(scheduler, config, downstream_limits(config, bounds_of(plan)));
 
     auto& core = dispatcher.mailbox();
     pool.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
@@ -153,12 +171,13 @@
     for (const Time until = scheduler.now() + fresh_list_ms;
          !cluster.heard() && runtime::steady_now() < until;)
         scheduler.run_until(runtime::steady_now() + 2);
+    if (plan) dispatcher.plan_by(plan);
     dispatcher.recover(first);
     scheduler.spawn(dispatcher.run());
     scheduler.spawn(notices.run());
     server.ready(true);  // all that is owed is known; connections that came meanwhile wait in the queue
     scheduler.spawn(server.run());
-    const auto reread = [&] { reload(config, cluster, notices, server, pool); };
+    const auto reread = [&] { reload(config, operators, dispatcher, cluster, notices, server, pool); };
     scheduler.spawn(
         until_stopped(scheduler, signalled, signals, reread, dispatcher, ledger, notices, server));
     runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(),
@@ -209,23 +228,67 @@
     return 0;
 }
 
+constexpr const char* commands_text =
+    "usage: brasslift [COMMAND ...]\n"
+    "  serve [--operator FILE]   dispatch messages (the default)\n"
+    "  config COMMAND ...        check, format, compare and explain operators' files\n"
+    "  check-config [FILE]       read a platform's config as a start would\n"
+    "  journal [FOLDER]          what a journal says is owed\n"
+    "  version\n"
+    "Each has its own --help.\n";
+
+// Runs a command with options of its own; `act` gets what was given.
+template <class Act>
+int with_options(cxxopts::Options& options, int argc, char** argv, Act act) {
+    try {
+        options.add_options()("h,help", "print this text");
+        const auto given = options.parse(argc, argv);
+        if (!given.unmatched().empty()) throw cxxopts::exceptions::exception("too many arguments");
+        if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
+        return act(given);
+    } catch (const cxxopts::exceptions::exception& fault) {
+        std::fprintf(stderr, "%s: %s (--help tells more)\n", options.program().c_str(), fault.what());
+        return 2;
+    }
+}
+
+// A command with one argument, which may be left out.
+template <class Act>
+int with_argument(const char* name, const char* text, const char* argument, int argc, char** argv, Act act) {
+    cxxopts::Options options(std::string("brasslift ") + name, text);
+    options.positional_help(std::string("[") + argument + ']');
+    options.add_options()("argument", argument, cxxopts::value<std::string>()->default_value(""));
+    options.parse_positional({"argument"});
+    return with_options(options, argc, argv,
+                        [&](const auto& given) { return act(given["argument"].template as<std::string>()); });
+}
+
 int run(int argc, char** argv) {
-    cxxopts::Options options("brasslift",
-                             "A dispatcher that takes messages on and delivers them to outside partners.");
-    options.positional_help("").custom_help("[serve | version | check-config [FILE] | journal [FOLDER]]");
-    options.add_options()("command", "serve (the default), version, check-config or journal",
-                          cxxopts::value<std::string>()->default_value("serve"))(
-        "argument", "a config file, or a folder with a journal",
-        cxxopts::value<std::string>()->default_value(""))("h,help", "print this text");
-    options.parse_positional({"command", "argument"});
-    const auto given = options.parse(argc, argv);
-    const auto command = given["command"].as<std::string>(), argument = given["argument"].as<std::string>();
-    if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
-    if (command == "serve") return serve();
+    const std::string command = argc > 1 && argv[1][0] != '-' ? argv[1] : "serve";
+    const int skipped = argc > 1 && argv[1][0] != '-' ? 1 : 0;
+    argc -= skipped;
+    argv += skipped;
+    if (skipped == 0 && argc > 1 && (std::string(argv[1]) == "--help" || std::string(argv[1]) == "-h"))
+        return std::printf("%s", commands_text) < 0 ? 1 : 0;
+    if (command == "serve") {
+        cxxopts::Options options(
+            "brasslift serve",
+            "Takes messages on and delivers them. The environment tells it the rest (README).");
+        options.add_options()("operator", "the operators' file: routes, pools, limits, policies, bounds",
+                              cxxopts::value<std::string>()->default_value(""));
+        return with_options(options, argc, argv, [](const auto& given) {
+            return serve(given["operator"].template as<std::string>());
+        });
+    }
+    if (command == "config") return commands::config(argc, argv);
     if (command == "version") return std::printf("brasslift %s\n", BRASSLIFT_VERSION) < 0 ? 1 : 0;
-    if (command == "check-config") return check_config(argument);
-    if (command == "journal") return inspect_journal(argument);
-    std::fprintf(stderr, "brasslift: no command '%s'\n%s", command.c_str(), options.help().c_str());
+    if (command == "check-config")
+        return with_argument("check-config", "Reads a platform's config as a start would.", "FILE", argc,
+                             argv, check_config);
+    if (command == "journal")
+        return with_argument("journal", "Lists what a journal says is owed; changes nothing.", "FOLDER", argc,
+                             argv, inspect_journal);
+    std::fprintf(stderr, "brasslift: no command '%s'\n%s", command.c_str(), commands_text);
     return 2;
 }
 
--- /dev/null
+++ b/src/plan/rules.hpp
@@ -0,0 +1,111 @@
+// What a configuration says, as plain values: already checked, names of destinations resolved to numbers.
+// Times are milliseconds, rates are per second, shares are parts of one.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace brasslift::plan {
+
+constexpr int none = -1;
+
+struct Pattern {
+    std::string text;
+    bool prefix = false;  // of a name; else the whole of it
+    bool matches(const std::string& name) const { return prefix ? name.starts_with(text) : name == text; }
+};
+
+// Destinations from..to. `exactness` orders them by how they were said: greater is more exact.
+struct Span {
+    std::uint16_t from = 0, to = 0;
+    std::uint32_t exactness = 0;
+};
+// Numbers and whole names before ranges, narrower ranges first, before beginnings of names, longer first.
+constexpr std::uint32_t exact_number = 1U << 19;
+constexpr std::uint32_t exactness_of_range(std::uint32_t width) { return (1U << 18) | (65536U - width); }
+constexpr std::uint32_t exactness_of_prefix(std::size_t length) { return static_cast<std::uint32_t>(1 + length); }
+
+// An empty list matches everything.
+struct Match {
+    std::vector<Pattern> classes, tenants;
+    std::vector<Span> destinations;
+    bool nothing = false;  // names and labels that no destination has
+};
+
+struct PoolRule {
+    std::string name;
+    std::optional<std::uint32_t> connections_per_host, calls_per_host, idle_total;
+    std::optional<double> dial_timeout_ms, idle_ms;
+    bool operator==(const PoolRule&) const = default;
+};
+
+struct RouteRule {
+    std::string name;
+    Match match;
+    int priority = 0;
+    int pool = none;
+    std::optional<double> refuse_pause_ms;
+};
+
+enum class Dimension : std::uint8_t { tenant, message_class, destination, route };
+
+struct Guarantee {
+    Dimension of = Dimension::tenant;  // a tenant, a class or a route
+    std::string name;
+    double part = 0;
+    bool operator==(const Guarantee&) const = default;
+};
+
+struct LimitRule {
+    std::string name;
+    Match match;
+    int route = none;  // only messages of that route
+    std::vector<Dimension> by;  // sorted, each once
+    double rate = 0;  // 0: not limited
+    double burst = 0;
+    std::uint64_t held = 0, held_bytes = 0;  // 0: not limited
+    std::vector<Guarantee> guarantees;
+    double lend = 0.5;
+    double horizon_ms = 30000;
+};
+
+struct RetryBudget {
+    double part = 0, least = 1, saved = 100;
+};
+
+struct PolicyRule {
+    std::string name;
+    Match match;
+    int route = none;
+    std::optional<double> deadline_ms;
+    std::optional<int> attempts;
+    std::optional<RetryBudget> budget;
+};
+
+struct Bounds {
+    std::size_t head = 16 * 1024, body = 64 * 1024;
+    double request_ms = 2000;
+    double client_descriptors = 0.5, idle_descriptors = 0.25, request_memory = 0.0625;
+    std::size_t limiter_keys = 20000, bookings = 1024;
+};
+
+struct Rules {
+    std::vector<PoolRule> pools;
+    std::vector<RouteRule> routes;
+    std::vector<LimitRule> limits;
+    std::vector<PolicyRule> policies;
+    Bounds bounds;
+};
+
+// The classes and tenants that there are, by their place in the dispatcher's settings.
+struct Names {
+    std::vector<std::string> classes, tenants;
+};
+
+struct Subject {
+    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+};
+
+}  // namespace brasslift::plan
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -36,6 +36,13 @@
     http::Parser parser;
     Ended ended;
     Time expires = 0, start_by = 0;
+    const std::string& pool() const {
+        static const std::string own;
+        return call.pool ? call.pool->name : own;
+    }
+    std::size_t most_connections() const {
+        return call.pool ? call.pool->connections_per_host.value_or(0) : 0;
+    }
     bool bulk() const { return call.parcels.size() > 1; }
     bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
     bool surplus = false;         // more came than belongs to the answer
@@ -103,31 +110,47 @@
 
 runtime::Task<void> Pool::run(HostPtr own) {
     auto& host = *own;
-    const double lifetime = idle_share * settings_.conn_idle_ms;
     for (;;) {
         while (auto letter = host.mailbox.take()) {
             if (auto* const call = std::get_if<dispatch::Call>(&*letter)) {
                 scheduler_.spawn(carry(own, std::move(*call)));
             } else if (const auto* const close = std::get_if<CloseIdle>(&*letter)) {
-                drop_idle(host, runtime::never);
+                drop_idle(host, true);
                 if (close->for_good) co_return;
             } else {
                 const auto& state = std::get<HostState>(*letter);
-                if (state.address != host.state.address || !state.ready) drop_idle(host, runtime::never);
+                if (state.address != host.state.address || !state.ready) drop_idle(host, true);
                 if (!state.ready && host.left_at == runtime::never) host.left_at = scheduler_.now();
                 if (state.ready) host.left_at = runtime::never;
                 host.state = state;
             }
         }
-        drop_idle(host, scheduler_.now() - lifetime);
-        co_await host.waker.wait(host.idle.empty() ? runtime::never : host.idle.front().since + lifetime + 1);
+        drop_idle(host);
+        Time next = runtime::never;
+        for (const auto& idle : host.idle) next = std::min(next, idle.until);
+        co_await host.waker.wait(next + 1);
+    }
+}
+
+double Pool::lifetime(const plan::PoolRule* pool) const {
+    const double own = idle_share * settings_.conn_idle_ms;
+    return pool != nullptr && pool->idle_ms ? std::min(own, *pool->idle_ms) : own;
+}
+
+void Pool::drop_idle(Host& host, bool all) {
+    for (auto it = host.idle.begin(); it != host.idle.end();) {
+        const auto next = std::next(it) - host.idle.begin();
+        const bool over = all || it->until <= scheduler_.now() || it->socket.readable();
+        if (over) remove_idle(host, it);
+        it = host.idle.begin() + (over ? next - 1 : next);
     }
 }
 
-void Pool::drop_idle(Host& host, Time older_than) {
-    const auto before = host.idle.size();
-    std::erase_if(host.idle, [&](const Idle& i) { return i.since <= older_than || i.socket.readable(); });
-    idle_ -= before - host.idle.size();
+void Pool::remove_idle(Host& host, std::deque<Idle>::iterator idle) {
+    --idle_;
+    if (!idle->pool.empty())
+        if (const auto count = idle_of_.find(idle->pool); --count->second == 0) idle_of_.erase(count);
+    host.idle.erase(idle);
 }
 
 // Gives up the connection that has been idle for longest, whosever it is.
@@ -138,33 +161,65 @@
             (oldest == nullptr || host->idle.front().since < oldest->idle.front().since))
             oldest = host.get();
     if (oldest == nullptr) return;
-    oldest->idle.pop_front();
-    --idle_;
+    remove_idle(*oldest, oldest->idle.begin());
 }
 
-runtime::Socket Pool::take_idle(Host& host) {
-    drop_idle(host, scheduler_.now() - idle_share * settings_.conn_idle_ms);
-    if (host.idle.empty()) return {};
+runtime::Socket Pool::take_idle(Host& host, const std::string& pool) {
+    drop_idle(host);
     // The latest used is the least likely to be closed as idle; but a host that closes right after its answer
     // takes a moment to do so, and what is written meanwhile is lost.
-    const auto settled = std::find_if(host.idle.rbegin(), host.idle.rend(), [this](const Idle& i) {
-        return i.since <= scheduler_.now() - settle_ms;
+    const auto of_pool = [&](const Idle& i) { return i.pool == pool; };
+    const auto settled = std::find_if(host.idle.rbegin(), host.idle.rend(), [&](const Idle& i) {
+        return of_pool(i) && i.since <= scheduler_.now() - settle_ms;
     });
-    const auto chosen = settled == host.idle.rend() ? std::prev(host.idle.end()) : std::prev(settled.base());
+    const auto any =
+        settled == host.idle.rend() ? std::find_if(host.idle.rbegin(), host.idle.rend(), of_pool) : settled;
+    if (any == host.idle.rend()) return {};
+    const auto chosen = std::prev(any.base());
     auto socket = std::move(chosen->socket);
-    host.idle.erase(chosen);
-    --idle_;
+    remove_idle(host, chosen);
     return socket;
 }
 
-void Pool::give_back(Host& host, runtime::Socket socket) {
+void Pool::give_back(Host& host, Flight& flight) {
     if (!host.state.ready || idle_ >= settings_.most_idle) return;
-    socket.rebind(host.waker);
-    host.idle.push_back({std::move(socket), scheduler_.now()});
+    const auto& pool = flight.call.pool;
+    if (pool) {
+        const auto idle = idle_of_.find(pool->name);
+        if (pool->idle_total && (idle == idle_of_.end() ? 0 : idle->second) >= *pool->idle_total) return;
+        ++idle_of_[pool->name];
+    }
+    flight.socket.rebind(host.waker);
+    host.idle.push_back(
+        {std::move(flight.socket), scheduler_.now(), scheduler_.now() + lifetime(pool.get()), flight.pool()});
     ++idle_;
     host.waker.notify();
 }
 
+// Waits for a connection's place, where the pool has only so many to a host. False: none came in time.
+runtime::Task<bool> Pool::come_in(Host& host, Flight& flight) {
+    const auto most = flight.most_connections();
+    if (most == 0) co_return true;
+    auto& used = host.used[flight.pool()];
+    const Time until = std::min(flight.expires, flight.start_by);
+    while (used >= most) {
+        if (scheduler_.now() >= until) co_return false;
+        auto& queue = host.queues[flight.pool()];
+        queue.push_back(&flight.waker);
+        co_await flight.waker.wait(until);
+        std::erase(queue, &flight.waker);
+    }
+    ++used;
+    co_return true;
+}
+
+void Pool::leave(Host& host, const Flight& flight) {
+    if (flight.most_connections() == 0) return;
+    --host.used[flight.pool()];
+    auto& queue = host.queues[flight.pool()];
+    if (!queue.empty()) queue.front()->notify();
+}
+
 Time& Pool::wait_of(Host& host) {
     return host.state.apart ? host.wait_until : waits_[host.state.destination];
 }
@@ -183,6 +238,12 @@
         flight.expires = std::max(flight.expires, parcel.expires);
         if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
     }
+    const bool has_place = co_await come_in(host, flight);
+    if (!has_place) {
+        flight.ended.cause = Cause::not_allowed;
+        land(flight);
+        co_return;
+    }
     co_await exchange(host, flight);
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
@@ -190,12 +251,13 @@
     if (answered) heed(host, fate_of(flight.ended, flight.parser.message().headers));
     land(flight);
     if (flight.socket && !flight.parser.complete()) co_await read_answer(flight);
-    if (flight.reusable()) give_back(host, std::move(flight.socket));
+    if (flight.reusable()) give_back(host, flight);
+    leave(host, flight);
 }
 
 runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
     auto& ended = flight.ended;
-    flight.socket = take_idle(host);
+    flight.socket = take_idle(host, flight.pool());
     if (flight.socket) {
         flight.socket.rebind(flight.waker);
     } else {
@@ -207,8 +269,11 @@
         if (!socket) co_return;
         flight.socket = std::move(*socket);
         // Past start_by its first byte may not go: a message whose time ends then is told so at once.
-        const Time until =
-            std::min({scheduler_.now() + settings_.dial_timeout_ms, flight.expires, flight.start_by});
+        const double dial_ms = flight.call.pool
+                                   ? std::min(settings_.dial_timeout_ms,
+                                              flight.call.pool->dial_timeout_ms.value_or(runtime::never))
+                                   : settings_.dial_timeout_ms;
+        const Time until = std::min({scheduler_.now() + dial_ms, flight.expires, flight.start_by});
         const auto state = co_await runtime::come_up(scheduler_, flight.socket, flight.waker, until);
         if (state == runtime::Io::blocked) ended.cause = Cause::timed_out;
         if (state != runtime::Io::done) co_return;
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -49,7 +49,8 @@
 private:
     struct Idle {
         runtime::Socket socket;
-        Time since = 0;
+        Time since = 0, until = 0;
+        std::string pool;  // of the operators; empty: none
     };
     struct CloseIdle {
         bool for_good = false;  // the host is forgotten, and its actor ends
@@ -63,6 +64,9 @@
         Time left_at = runtime::never;  // since when the list says that it drains or is gone
         Time wait_until = 0;            // of a host that is a route of its own
         std::deque<Idle> idle;          // the latest used last
+        // Of pools that cap their connections: calls that have one, and those that wait for one.
+        std::map<std::string, std::size_t> used;
+        std::map<std::string, std::deque<runtime::Waker*>> queues;
     };
     struct Flight;
     using HostPtr = std::shared_ptr<Host>;  // its actor and each of its calls hold it
@@ -70,15 +74,19 @@
     std::string request_of(const Flight& flight) const;
     runtime::Task<void> run(HostPtr host);
     runtime::Task<void> carry(HostPtr host, dispatch::Call call);
+    runtime::Task<bool> come_in(Host& host, Flight& flight);
+    void leave(Host& host, const Flight& flight);
     runtime::Task<void> exchange(Host& host, Flight& flight);
     runtime::Task<bool> write_all(Flight& flight, const std::string& text);
     runtime::Task<void> read_answer(Flight& flight);
     void heed(Host& host, const Fate& fate);
     Time& wait_of(Host& host);
-    runtime::Socket take_idle(Host& host);
-    void give_back(Host& host, runtime::Socket socket);
+    runtime::Socket take_idle(Host& host, const std::string& pool);
+    void give_back(Host& host, Flight& flight);
+    void remove_idle(Host& host, std::deque<Idle>::iterator idle);
     void shed_idle();
-    void drop_idle(Host& host, Time older_than);
+    void drop_idle(Host& host, bool all = false);
+    double lifetime(const plan::PoolRule* pool) const;
     Time next_due(const Flight& flight) const;
     void land_due(Flight& flight);
     void land(Flight& flight);
@@ -89,6 +97,7 @@
     std::map<EndpointId, HostPtr> hosts_;
     std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
+    std::map<std::string, std::size_t> idle_of_;  // by pool of the operators
 };
 
 }  // namespace brasslift::upstream
