--- a/src/commands/config_command.cpp
+++ b/src/commands/config_command.cpp
@@ -58,9 +58,11 @@
 
 class Command {
 public:
-    Command(const char* name, const char* text, const char* arguments) : options_(std::string("brasslift config ") + name, text) {
+    Command(const char* name, const char* text, const char* arguments)
+        : options_(std::string("brasslift config ") + name, text) {
         options_.positional_help(arguments).show_positional_help();
-        options_.add_options()("h,help", "print this text")("files", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
+        options_.add_options()("h,help", "print this text")(
+            "files", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
         options_.parse_positional({"files"});
     }
     cxxopts::OptionAdder add() { return options_.add_options(); }
@@ -70,7 +72,8 @@
         if (given.count("help") > 0) {
             auto text = options_.help({""});
             // The positional arguments stand in the usage line already.
-            if (const auto at = text.find("      --files"); at != std::string::npos) text.erase(at, text.find('\n', at) - at + 1);
+            if (const auto at = text.find("      --files"); at != std::string::npos)
+                text.erase(at, text.find('\n', at) - at + 1);
             print(text);
             return std::nullopt;
         }
@@ -88,7 +91,9 @@
 
 int check(int argc, char** argv) {
     Command command("check", "Tells all faults of configurations and what to write instead.", "FILE...");
-    command.add()("json", "findings as JSON")("config", "the platform's config (PROXY_CONFIG) to judge them by", cxxopts::value<std::string>()->default_value(""));
+    command.add()("json", "findings as JSON")("config",
+                                              "the platform's config (PROXY_CONFIG) to judge them by",
+                                              cxxopts::value<std::string>()->default_value(""));
     const auto given = command.parse(argc, argv, 1, 1000);
     if (!given) return fine;
     const auto platform = platform_at((*given)["config"].as<std::string>());
@@ -101,7 +106,8 @@
             break;
         }
         for (const auto& f : checked.findings.sorted())
-            f.severity == lang::Severity::error ? all.error(f.at, f.what, f.fix) : all.warn(f.at, f.what, f.fix);
+            f.severity == lang::Severity::error ? all.error(f.at, f.what, f.fix)
+                                                : all.warn(f.at, f.what, f.fix);
     }
     tell(all, given->count("json") > 0);
     return all.empty() ? fine : found;
@@ -125,8 +131,10 @@
 }
 
 int format_files(int argc, char** argv) {
-    Command command("format", "Lays files out in the one way that they have; keeps every comment.", "FILE...");
-    command.add()("check", "only say which files are laid out otherwise")("write", "write the files instead of printing them");
+    Command command("format", "Lays files out in the one way that they have; keeps every comment.",
+                    "FILE...");
+    command.add()("check", "only say which files are laid out otherwise")(
+        "write", "write the files instead of printing them");
     const auto given = command.parse(argc, argv, 1, 1000);
     if (!given) return fine;
     const bool only_check = given->count("check") > 0, write = given->count("write") > 0;
@@ -135,8 +143,10 @@
     for (const auto& file : command.files) {
         lang::Findings findings;
         const auto read = lang::Disk().read(file, lang::most_file_bytes);
-        if (const auto* const failure = std::get_if<lang::Files::Failure>(&read)) findings.error({file, 0, 0}, "the file cannot be read: " + failure->what, "check the path");
-        const auto source = std::holds_alternative<std::string>(read) ? std::get<std::string>(read) : std::string();
+        if (const auto* const failure = std::get_if<lang::Files::Failure>(&read))
+            findings.error({file, 0, 0}, "the file cannot be read: " + failure->what, "check the path");
+        const auto source =
+            std::holds_alternative<std::string>(read) ? std::get<std::string>(read) : std::string();
         const auto tree = lang::read_tree(file, source, findings);
         if (findings.any_errors()) {
             for (const auto& f : findings.sorted()) std::fprintf(stderr, "%s\n", lang::to_text(f).c_str());
@@ -176,7 +186,8 @@
 }
 
 int show(int argc, char** argv) {
-    Command command("show", "Prints all that holds, with the file and line that each value came from.", "FILE");
+    Command command("show", "Prints all that holds, with the file and line that each value came from.",
+                    "FILE");
     const auto given = command.parse(argc, argv, 1, 1);
     if (!given) return fine;
     Checked checked;
@@ -187,10 +198,14 @@
 }
 
 int explain(int argc, char** argv) {
-    Command command("explain", "Tells which route, pool, limits and policies hold for a message, and why not the others.", "FILE");
-    command.add()("tenant", "its tenant", cxxopts::value<std::string>())("class", "its class", cxxopts::value<std::string>())(
-        "dest", "its destination, by number or name", cxxopts::value<std::string>())("all", "name all that do not hold")(
-        "config", "the platform's config (PROXY_CONFIG)", cxxopts::value<std::string>()->default_value(""));
+    Command command(
+        "explain", "Tells which route, pool, limits and policies hold for a message, and why not the others.",
+        "FILE");
+    command.add()("tenant", "its tenant", cxxopts::value<std::string>())(
+        "class", "its class", cxxopts::value<std::string>())("dest", "its destination, by number or name",
+                                                             cxxopts::value<std::string>())(
+        "all", "name all that do not hold")("config", "the platform's config (PROXY_CONFIG)",
+                                            cxxopts::value<std::string>()->default_value(""));
     const auto given = command.parse(argc, argv, 1, 1);
     if (!given) return fine;
     for (const char* const needed : {"tenant", "class", "dest"})
@@ -204,7 +219,8 @@
     for (const auto& d : checked.document.config.destination())
         if (d.name() == dest) question.destination = static_cast<int>(d.number());
     if (question.destination < 0) {
-        if (dest.empty() || dest.size() > 5 || dest.find_first_not_of("0123456789") != std::string::npos || std::stoi(dest) > 65535)
+        if (dest.empty() || dest.size() > 5 || dest.find_first_not_of("0123456789") != std::string::npos ||
+            std::stoi(dest) > 65535)
             throw Usage("--dest: no destination is named '" + dest + "'");
         question.destination = std::stoi(dest);
     }
@@ -236,9 +252,10 @@
         return usage;
     }
     const bool help = name == "--help" || name == "-h";
-    std::fprintf(help ? stdout : stderr,
-                 "usage: brasslift config check|format|diff|show|explain ...\n"
-                 "Each has its own --help. Exit status: 0 all is well, 1 findings or a difference, 2 usage.\n");
+    std::fprintf(
+        help ? stdout : stderr,
+        "usage: brasslift config check|format|diff|show|explain ...\n"
+        "Each has its own --help. Exit status: 0 all is well, 1 findings or a difference, 2 usage.\n");
     return help ? fine : usage;
 }
 
--- a/src/lang/bind.cpp
+++ b/src/lang/bind.cpp
@@ -36,10 +36,13 @@
     const auto found = known_.find(&message);
     if (found == known_.end()) return false;
     const auto& known = found->second;
-    return known.fields.count(field) != 0 || std::find(known.meant.begin(), known.meant.end(), field) != known.meant.end();
+    return known.fields.count(field) != 0 ||
+           std::find(known.meant.begin(), known.meant.end(), field) != known.meant.end();
 }
 
-const Rule& rule_of(const pb::FieldDescriptor& field) { return field.options().GetExtension(config::v1::rule); }
+const Rule& rule_of(const pb::FieldDescriptor& field) {
+    return field.options().GetExtension(config::v1::rule);
+}
 
 namespace {
 
@@ -54,7 +57,8 @@
 }
 
 bool name_char(char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_' || c == '.';
 }
 
 bool is_name(std::string_view text) {
@@ -64,7 +68,8 @@
 }
 
 bool is_number(std::string_view text) {
-    return !text.empty() && text.size() <= 5 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
+    return !text.empty() && text.size() <= 5 &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
            std::stoi(std::string(text)) <= 65535;
 }
 
@@ -74,7 +79,9 @@
 }
 
 std::optional<Misread> judge_destination(std::string_view text) {
-    const bool digits_only = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return (c >= '0' && c <= '9') || c == '-'; });
+    const bool digits_only = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= '0' && c <= '9') || c == '-';
+    });
     if (!digits_only) {
         const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
         if (is_name(stem)) return std::nullopt;
@@ -84,11 +91,13 @@
     const auto dash = text.find('-');
     if (dash == std::string_view::npos) {
         if (is_number(text)) return std::nullopt;
-        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is beyond the last destination", "write a number up to 65535"};
+        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is beyond the last destination",
+                       "write a number up to 65535"};
     }
     const auto from = text.substr(0, dash), to = text.substr(dash + 1);
     if (!is_number(from) || !is_number(to))
-        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is no range of destinations", "write two numbers up to 65535, like \"10-19\""};
+        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is no range of destinations",
+                       "write two numbers up to 65535, like \"10-19\""};
     if (std::stoi(std::string(from)) > std::stoi(std::string(to)))
         return Misread{'"' + std::string(text) + "\" is a range that ends before it begins",
                        "write \"" + std::string(to) + '-' + std::string(from) + '"'};
@@ -101,11 +110,15 @@
         const auto read = read_quantity(*unit, text);
         if (const auto* const misread = std::get_if<Misread>(&read)) return *misread;
         const auto value = std::get<Quantity>(read).value;
-        const auto bound = [&](const std::string& written) { return std::get<Quantity>(read_quantity(*unit, written)).value; };
+        const auto bound = [&](const std::string& written) {
+            return std::get<Quantity>(read_quantity(*unit, written)).value;
+        };
         if (!rule.least().empty() && value < bound(rule.least()))
-            return Misread{'"' + text + "\" is less than \"" + rule.least() + '"', "write \"" + rule.least() + "\" or more"};
+            return Misread{'"' + text + "\" is less than \"" + rule.least() + '"',
+                           "write \"" + rule.least() + "\" or more"};
         if (!rule.most().empty() && value > bound(rule.most()))
-            return Misread{'"' + text + "\" is more than \"" + rule.most() + '"', "write \"" + rule.most() + "\" or less"};
+            return Misread{'"' + text + "\" is more than \"" + rule.most() + '"',
+                           "write \"" + rule.most() + "\" or less"};
         return std::nullopt;
     }
     switch (rule.kind()) {
@@ -114,12 +127,15 @@
             const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
             if (is_name(stem)) return std::nullopt;
             return Misread{'"' + text.substr(0, 80) + "\" is no name and no beginning of one",
-                           text == "*" ? "leave the field out: then everything matches" : "write a name, with '*' only at its end"};
+                           text == "*" ? "leave the field out: then everything matches"
+                                       : "write a name, with '*' only at its end"};
         }
         case config::v1::DESTINATION: return judge_destination(text);
         case config::v1::LABEL: {
             const auto equals = text.find('=');
-            if (equals != std::string::npos && is_name(text.substr(0, equals)) && is_name(text.substr(equals + 1))) return std::nullopt;
+            if (equals != std::string::npos && is_name(text.substr(0, equals)) &&
+                is_name(text.substr(equals + 1)))
+                return std::nullopt;
             return Misread{'"' + text.substr(0, 80) + "\" is no label", "write it as \"key=value\""};
         }
         case config::v1::PATH:
@@ -146,7 +162,8 @@
 
 class Binder {
 public:
-    Binder(const std::string& file, Places& places, Findings& findings) : file_(file), places_(places), findings_(findings) {}
+    Binder(const std::string& file, Places& places, Findings& findings)
+        : file_(file), places_(places), findings_(findings) {}
 
     void block(const std::vector<Field>& fields, pb::Message& into) {
         const auto& type = *into.GetDescriptor();
@@ -166,7 +183,8 @@
             }
             if (field.kind == Field::Kind::list) {
                 if (!known->is_repeated()) {
-                    error(field.value_line, field.value_column, '\'' + name + "' takes one value, not a list", "write the value without brackets");
+                    error(field.value_line, field.value_column, '\'' + name + "' takes one value, not a list",
+                          "write the value without brackets");
                     continue;
                 }
                 for (const auto& item : field.children) value(item, *known, into);
@@ -186,7 +204,8 @@
         for (int i = 0; i < type.field_count(); ++i) names.push_back(type.field(i)->name());
         const auto near = nearest(field.name, names);
         if (!near.empty()) places_.known_[&into].meant.push_back(near);
-        error(field.line, field.column, type.name() + " has no field '" + std::string(field.name.substr(0, 80)) + '\'',
+        error(field.line, field.column,
+              type.name() + " has no field '" + std::string(field.name.substr(0, 80)) + '\'',
               near.empty() ? "use one of " + list_of(names) : "write '" + near + '\'');
     }
 
@@ -194,13 +213,16 @@
         const int line = field.value_line, column = field.value_column;
         const bool message = known.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE;
         if (message != (field.kind == Field::Kind::block)) {
-            error(line, column, message ? '\'' + known.name() + "' is a block" : '\'' + known.name() + "' is a single value",
-                  message ? "write " + known.name() + " { ... }" : "write " + known.name() + ": VALUE");
+            error(
+                line, column,
+                message ? '\'' + known.name() + "' is a block" : '\'' + known.name() + "' is a single value",
+                message ? "write " + known.name() + " { ... }" : "write " + known.name() + ": VALUE");
             return;
         }
         const auto* const reflection = into.GetReflection();
         if (message) {
-            auto* const sub = known.is_repeated() ? reflection->AddMessage(&into, &known) : reflection->MutableMessage(&into, &known);
+            auto* const sub = known.is_repeated() ? reflection->AddMessage(&into, &known)
+                                                  : reflection->MutableMessage(&into, &known);
             // The place of an entry of a list is its own, that of a named block is its name's.
             places_.put(*sub, file_, field);
             places_.known_[&into].fields[known.name()].push_back({file_, field.line, field.column});
@@ -209,20 +231,24 @@
         }
         places_.known_[&into].fields[known.name()].push_back({file_, line, column});
         const auto& first = field.value.front();
-        const auto say = [&](const std::string& what, const std::string& fix) { error(line, column, what, fix); };
+        const auto say = [&](const std::string& what, const std::string& fix) {
+            error(line, column, what, fix);
+        };
         const auto shown = '\'' + std::string(first.text.substr(0, 40)) + '\'';
         switch (known.cpp_type()) {
             case pb::FieldDescriptor::CPPTYPE_STRING: return text(field, known, into);
             case pb::FieldDescriptor::CPPTYPE_ENUM: {
                 std::vector<std::string> names;
                 for (int i = 0; i < known.enum_type()->value_count(); ++i)
-                    if (known.enum_type()->value(i)->number() != 0) names.push_back(known.enum_type()->value(i)->name());
+                    if (known.enum_type()->value(i)->number() != 0)
+                        names.push_back(known.enum_type()->value(i)->name());
                 const auto* const chosen = first.kind == Token::Kind::name && field.value.size() == 1
                                                ? known.enum_type()->FindValueByName(std::string(first.text))
                                                : nullptr;
                 if (chosen == nullptr || chosen->number() == 0) {
                     const auto near = nearest(first.text, names);
-                    return say(shown + " is no value of '" + known.name() + '\'', near.empty() ? "use one of " + list_of(names) : "write " + near);
+                    return say(shown + " is no value of '" + known.name() + '\'',
+                               near.empty() ? "use one of " + list_of(names) : "write " + near);
                 }
                 if (known.is_repeated())
                     reflection->AddEnum(&into, &known, chosen);
@@ -237,23 +263,36 @@
     }
 
     void whole(const Field& field, const pb::FieldDescriptor& known, pb::Message& into) {
-        const auto say = [&](const std::string& what, const std::string& fix) { error(field.value_line, field.value_column, what, fix); };
+        const auto say = [&](const std::string& what, const std::string& fix) {
+            error(field.value_line, field.value_column, what, fix);
+        };
         const auto& last = field.value.back();
         const bool negative = field.value.size() > 1;
         const auto shown = std::string(negative ? "-" : "") + std::string(last.text.substr(0, 40));
         const auto& rule = rule_of(known);
         const bool is_signed = known.cpp_type() == pb::FieldDescriptor::CPPTYPE_INT32;
         std::int64_t value = 0;
-        const auto [end, fault] = std::from_chars(last.text.data(), last.text.data() + last.text.size(), value);
-        if (last.kind != Token::Kind::number || (fault == std::errc{} && end != last.text.data() + last.text.size()) || fault == std::errc::invalid_argument)
-            return say((last.kind == Token::Kind::text ? std::string("a text") : '\'' + shown + '\'') + " is no whole number", "write digits alone, without quotes");
-        const auto bound = [](const std::string& written, std::int64_t standard) { return written.empty() ? standard : std::stoll(written); };
+        const auto [end, fault] =
+            std::from_chars(last.text.data(), last.text.data() + last.text.size(), value);
+        if (last.kind != Token::Kind::number ||
+            (fault == std::errc{} && end != last.text.data() + last.text.size()) ||
+            fault == std::errc::invalid_argument)
+            return say((last.kind == Token::Kind::text ? std::string("a text") : '\'' + shown + '\'') +
+                           " is no whole number",
+                       "write digits alone, without quotes");
+        const auto bound = [](const std::string& written, std::int64_t standard) {
+            return written.empty() ? standard : std::stoll(written);
+        };
         const auto least = bound(rule.least(), is_signed ? std::numeric_limits<std::int32_t>::min() : 0);
-        const auto most = bound(rule.most(), is_signed ? std::numeric_limits<std::int32_t>::max() : std::numeric_limits<std::uint32_t>::max());
+        const auto most = bound(rule.most(), is_signed ? std::numeric_limits<std::int32_t>::max()
+                                                       : std::numeric_limits<std::uint32_t>::max());
         if (negative) value = -value;
         if (fault == std::errc::result_out_of_range || value > most)
-            return say(shown + " is more than " + std::to_string(most), "write " + std::to_string(most) + " or less");
-        if (value < least) return say(shown + " is less than " + std::to_string(least), "write " + std::to_string(least) + " or more");
+            return say(shown + " is more than " + std::to_string(most),
+                       "write " + std::to_string(most) + " or less");
+        if (value < least)
+            return say(shown + " is less than " + std::to_string(least),
+                       "write " + std::to_string(least) + " or more");
         const auto* const reflection = into.GetReflection();
         if (is_signed)
             reflection->SetInt32(&into, &known, static_cast<std::int32_t>(value));
@@ -265,17 +304,22 @@
         std::string all;
         for (const auto& part : field.value) {
             if (part.kind != Token::Kind::text) {
-                const auto written = (field.value.size() > 1 ? "-" : "") + std::string(field.value.back().text.substr(0, 40));
-                return error(field.value_line, field.value_column, '\'' + known.name() + "' is a text", "write it in quotes: \"" + written + '"');
+                const auto written =
+                    (field.value.size() > 1 ? "-" : "") + std::string(field.value.back().text.substr(0, 40));
+                return error(field.value_line, field.value_column, '\'' + known.name() + "' is a text",
+                             "write it in quotes: \"" + written + '"');
             }
             const auto read = unquote(part.text);
             if (!read.fault.empty())
-                return error(part.line, part.column + static_cast<int>(read.fault_at), read.fault, "write '\\\\' for a backslash");
+                return error(part.line, part.column + static_cast<int>(read.fault_at), read.fault,
+                             "write '\\\\' for a backslash");
             all += read.text;
         }
         if (first_bad_utf8(all) != std::string_view::npos || all.find('\0') != std::string::npos)
-            return error(field.value_line, field.value_column, "the text's escapes make no UTF-8 text", "write the characters themselves");
-        if (const auto wrong = judge_text(rule_of(known), all)) return error(field.value_line, field.value_column, wrong->what, wrong->fix);
+            return error(field.value_line, field.value_column, "the text's escapes make no UTF-8 text",
+                         "write the characters themselves");
+        if (const auto wrong = judge_text(rule_of(known), all))
+            return error(field.value_line, field.value_column, wrong->what, wrong->fix);
         const auto* const reflection = into.GetReflection();
         if (known.is_repeated())
             reflection->AddString(&into, &known, std::move(all));
@@ -309,9 +353,14 @@
         if (reflection->HasField(message, &field)) {
             if (message_type) check_required(reflection->GetMessage(message, &field), places, findings);
         } else if (rule_of(field).required() && !written) {
-            auto entry = type.name();
-            entry[0] = static_cast<char>(entry[0] | 0x20);
-            findings.error(at, "this " + entry + " has no '" + field.name() + '\'', "add " + field.name() + ": ...");
+            std::string entry;  // as the schema's field is written: RetryBudget as retry_budget
+            for (const char c : type.name()) {
+                const bool upper = c >= 'A' && c <= 'Z';
+                if (upper && !entry.empty()) entry += '_';
+                entry += upper ? static_cast<char>(c | 0x20) : c;
+            }
+            findings.error(at, "this " + entry + " has no '" + field.name() + '\'',
+                           "add " + field.name() + ": ...");
         }
     }
 }
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -18,11 +18,16 @@
 double duration_ms(const std::string& text) { return quantity(Unit::duration, text).milliseconds(); }
 double rate_per_s(const std::string& text) { return quantity(Unit::rate, text).per_second(); }
 double part_of(const std::string& text) { return quantity(Unit::share, text).part(); }
-std::size_t bytes_of(const std::string& text) { return static_cast<std::size_t>(quantity(Unit::size, text).value); }
-std::string shown_ms(double ms) { return write_quantity(Unit::duration, {static_cast<std::int64_t>(ms * 1000)}); }
+std::size_t bytes_of(const std::string& text) {
+    return static_cast<std::size_t>(quantity(Unit::size, text).value);
+}
+std::string shown_ms(double ms) {
+    return write_quantity(Unit::duration, {static_cast<std::int64_t>(ms * 1000)});
+}
 
 bool is_digits(const std::string& text) {
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
 template <class Entry>
@@ -44,7 +49,10 @@
         limits();
         policies();
         bounds();
-        if (!findings_.any_errors()) overlaps();
+        if (findings_.any_errors())
+            return std::move(rules_);  // what would be told now might follow from them
+        unused();
+        overlaps();
         return std::move(rules_);
     }
 
@@ -56,12 +64,16 @@
             if (entry.name().empty()) continue;
             const auto [it, fresh] = first.emplace(entry.name(), &entry);
             if (!fresh)
-                error(places_.of(entry, "name"), what + " \"" + entry.name() + "\" is defined twice; the first is at " + to_text(places_.of(*it->second, "name")),
+                error(places_.of(entry, "name"),
+                      what + " \"" + entry.name() + "\" is defined twice; the first is at " +
+                          to_text(places_.of(*it->second, "name")),
                       "rename one, or remove it");
         }
     }
 
-    void error(Place at, std::string what, std::string fix) { findings_.error(std::move(at), std::move(what), std::move(fix)); }
+    void error(Place at, std::string what, std::string fix) {
+        findings_.error(std::move(at), std::move(what), std::move(fix));
+    }
 
     void destinations() {
         unique(config_.destination(), "destination");
@@ -70,19 +82,25 @@
             if (!d.has_number()) continue;
             const auto [it, fresh] = numbers.emplace(d.number(), &d);
             if (!fresh)
-                error(places_.of(d, "number"), "destination " + std::to_string(d.number()) + " is declared twice; the first is at " + to_text(places_.of(*it->second, "number")),
+                error(places_.of(d, "number"),
+                      "destination " + std::to_string(d.number()) + " is declared twice; the first is at " +
+                          to_text(places_.of(*it->second, "number")),
                       "keep one of them");
             if (!d.name().empty()) names_.emplace(d.name(), static_cast<std::uint16_t>(d.number()));
-            for (const auto& label : d.label()) labels_[label].push_back(static_cast<std::uint16_t>(d.number()));
+            for (const auto& label : d.label())
+                labels_[label].push_back(static_cast<std::uint16_t>(d.number()));
         }
     }
 
     // Destinations as they are written, in any entry that has them.
-    std::vector<plan::Span> spans(const google::protobuf::Message& holder, const Entries<std::string>& texts) {
+    std::vector<plan::Span> spans(const google::protobuf::Message& holder,
+                                  const Entries<std::string>& texts) {
         std::vector<plan::Span> found;
         for (int i = 0; i < texts.size(); ++i) {
             const auto& text = texts[i];
-            if (const auto dash = text.find('-'); dash != std::string::npos && is_digits(text.substr(0, dash)) && is_digits(text.substr(dash + 1))) {
+            if (const auto dash = text.find('-'); dash != std::string::npos &&
+                                                  is_digits(text.substr(0, dash)) &&
+                                                  is_digits(text.substr(dash + 1))) {
                 const auto from = std::stoul(text.substr(0, dash)), to = std::stoul(text.substr(dash + 1));
                 found.push_back({static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to),
                                  plan::exactness_of_range(static_cast<std::uint32_t>(to - from + 1))});
@@ -92,9 +110,13 @@
             } else if (text.ends_with('*')) {
                 const auto stem = text.substr(0, text.size() - 1);
                 bool any = false;
-                for (auto it = names_.lower_bound(stem); it != names_.end() && it->first.starts_with(stem); ++it, any = true)
+                for (auto it = names_.lower_bound(stem); it != names_.end() && it->first.starts_with(stem);
+                     ++it, any = true)
                     found.push_back({it->second, it->second, plan::exactness_of_prefix(stem.size())});
-                if (!any) error(places_.of(holder, "destination", i), "no destination's name begins with \"" + stem + '"', "declare one: destination { number: ... name: \"" + stem + "...\" }");
+                if (!any)
+                    error(places_.of(holder, "destination", i),
+                          "no destination's name begins with \"" + stem + '"',
+                          "declare one: destination { number: ... name: \"" + stem + "...\" }");
             } else if (const auto named = names_.find(text); named != names_.end()) {
                 found.push_back({named->second, named->second, plan::exact_number});
             } else {
@@ -102,22 +124,28 @@
                 for (const auto& [name, number] : names_) known.push_back(name);
                 const auto near = nearest(text, known);
                 error(places_.of(holder, "destination", i), "no destination is named \"" + text + '"',
-                      near.empty() ? "declare it: destination { number: ... name: \"" + text + "\" }" : "write \"" + near + '"');
+                      near.empty() ? "declare it: destination { number: ... name: \"" + text + "\" }"
+                                   : "write \"" + near + '"');
             }
         }
         return found;
     }
 
-    std::vector<plan::Pattern> patterns(const google::protobuf::Message& holder, const char* field, const Entries<std::string>& texts,
+    std::vector<plan::Pattern> patterns(const google::protobuf::Message& holder, const char* field,
+                                        const Entries<std::string>& texts,
                                         const std::vector<std::string>* known) {
         std::vector<plan::Pattern> found;
         for (int i = 0; i < texts.size(); ++i) {
             plan::Pattern p{texts[i], texts[i].ends_with('*')};
             if (p.prefix) p.text.pop_back();
-            const bool any = known == nullptr || std::any_of(known->begin(), known->end(), [&](const auto& name) { return p.matches(name); });
+            const bool any =
+                known == nullptr ||
+                std::any_of(known->begin(), known->end(), [&](const auto& name) { return p.matches(name); });
             if (!any) {
                 const auto near = p.prefix ? std::string() : nearest(p.text, *known);
-                error(places_.of(holder, field, i), std::string("the platform has no ") + field + (p.prefix ? " whose name begins with \"" : " \"") + p.text + '"',
+                error(places_.of(holder, field, i),
+                      std::string("the platform has no ") + field +
+                          (p.prefix ? " whose name begins with \"" : " \"") + p.text + '"',
                       near.empty() ? "remove it" : "write \"" + near + '"');
             }
             found.push_back(std::move(p));
@@ -128,7 +156,9 @@
     plan::Match match(const v1::Match& m) {
         plan::Match out;
         out.classes = patterns(m, "class", m.class_(), platform_ == nullptr ? nullptr : &class_names());
-        out.tenants = patterns(m, "tenant", m.tenant(), platform_ == nullptr || platform_->tenants.empty() ? nullptr : &platform_->tenants);
+        out.tenants =
+            patterns(m, "tenant", m.tenant(),
+                     platform_ == nullptr || platform_->tenants.empty() ? nullptr : &platform_->tenants);
         out.destinations = spans(m, m.destination());
         out.nothing = out.destinations.empty() && m.destination_size() > 0;
         return out;
@@ -141,7 +171,8 @@
     }
 
     template <class Entry>
-    int refer(const Entries<Entry>& entries, const google::protobuf::Message& by, const char* field, const std::string& name, const char* what) {
+    int refer(const Entries<Entry>& entries, const google::protobuf::Message& by, const char* field,
+              const std::string& name, const char* what) {
         auto& places = refers_[what];
         if (places.empty())
             for (int i = 0; i < entries.size(); ++i) places.emplace(entries[i].name(), i);
@@ -152,7 +183,8 @@
         if (std::find(known.begin(), known.end(), "") != known.end()) return plan::none;
         const auto near = nearest(name, known);
         error(places_.of(by, field), std::string("there is no ") + what + " \"" + name + '"',
-              near.empty() ? std::string("define it: ") + what + " { name: \"" + name + "\" ... }" : "write \"" + near + '"');
+              near.empty() ? std::string("define it: ") + what + " { name: \"" + name + "\" ... }"
+                           : "write \"" + near + '"');
         return plan::none;
     }
 
@@ -165,14 +197,25 @@
             if (p.has_idle_total()) pool.idle_total = p.idle_total();
             if (p.has_dial_timeout()) pool.dial_timeout_ms = duration_ms(p.dial_timeout());
             if (p.has_idle_time()) pool.idle_ms = duration_ms(p.idle_time());
-            if (pool.calls_per_host && pool.connections_per_host && *pool.calls_per_host > *pool.connections_per_host)
+            if (pool.calls_per_host && pool.connections_per_host &&
+                *pool.calls_per_host > *pool.connections_per_host)
                 error(places_.of(p, "calls_per_host"),
-                      "pool \"" + p.name() + "\" allows " + std::to_string(*pool.calls_per_host) + " calls on " + std::to_string(*pool.connections_per_host) + " connections, and a connection carries one call",
+                      "pool \"" + p.name() + "\" allows " + std::to_string(*pool.calls_per_host) +
+                          " calls on " + std::to_string(*pool.connections_per_host) +
+                          " connections, and a connection carries one call",
                       "write " + std::to_string(*pool.connections_per_host) + " or less");
-            if (platform_ != nullptr && platform_->dial_timeout_ms > 0 && pool.dial_timeout_ms.value_or(0) > platform_->dial_timeout_ms)
-                error(places_.of(p, "dial_timeout"), "\"" + p.dial_timeout() + "\" is longer than the platform's " + shown_ms(platform_->dial_timeout_ms), "write \"" + shown_ms(platform_->dial_timeout_ms) + "\" or less");
-            if (platform_ != nullptr && platform_->idle_ms > 0 && pool.idle_ms.value_or(0) > platform_->idle_ms)
-                error(places_.of(p, "idle_time"), "\"" + p.idle_time() + "\" is longer than the platform's " + shown_ms(platform_->idle_ms), "write \"" + shown_ms(platform_->idle_ms) + "\" or less");
+            if (platform_ != nullptr && platform_->dial_timeout_ms > 0 &&
+                pool.dial_timeout_ms.value_or(0) > platform_->dial_timeout_ms)
+                error(places_.of(p, "dial_timeout"),
+                      "\"" + p.dial_timeout() + "\" is longer than the platform's " +
+                          shown_ms(platform_->dial_timeout_ms),
+                      "write \"" + shown_ms(platform_->dial_timeout_ms) + "\" or less");
+            if (platform_ != nullptr && platform_->idle_ms > 0 &&
+                pool.idle_ms.value_or(0) > platform_->idle_ms)
+                error(
+                    places_.of(p, "idle_time"),
+                    "\"" + p.idle_time() + "\" is longer than the platform's " + shown_ms(platform_->idle_ms),
+                    "write \"" + shown_ms(platform_->idle_ms) + "\" or less");
             auto members = spans(p, p.destination());
             for (int i = 0; i < p.label_size(); ++i) {
                 const auto found = labels_.find(p.label(i));
@@ -180,13 +223,16 @@
                     std::vector<std::string> known;
                     for (const auto& [label, numbers] : labels_) known.push_back(label);
                     const auto near = nearest(p.label(i), known);
-                    error(places_.of(p, "label", i), "no destination has the label \"" + p.label(i) + '"', near.empty() ? "label one, or remove this" : "write \"" + near + '"');
+                    error(places_.of(p, "label", i), "no destination has the label \"" + p.label(i) + '"',
+                          near.empty() ? "label one, or remove this" : "write \"" + near + '"');
                     continue;
                 }
-                for (const auto number : found->second) members.push_back({number, number, plan::exact_number});
+                for (const auto number : found->second)
+                    members.push_back({number, number, plan::exact_number});
             }
-            if (p.destination_size() == 0 && p.label_size() == 0 && !p.name().empty())
-                error(places_.of(p), "pool \"" + p.name() + "\" is empty", "give it destinations or labels, or remove it");
+            if (!places_.tried(p, "destination") && !places_.tried(p, "label") && !p.name().empty())
+                error(places_.of(p), "pool \"" + p.name() + "\" is empty",
+                      "give it destinations or labels, or remove it");
             pool_members_.push_back(std::move(members));
             rules_.pools.push_back(std::move(pool));
         }
@@ -212,45 +258,49 @@
         for (const auto& [from, to] : joined(match.destinations)) {
             auto after = std::upper_bound(whole.begin(), whole.end(), std::pair(from, 1 << 20));
             if (after != whole.begin() && std::prev(after)->second >= to) continue;
-            const auto set = from == to ? std::to_string(from) : std::to_string(from) + '-' + std::to_string(to);
-            error(places_.of(r, "pool"), "route \"" + r.name() + "\" sends destination " + set + " to pool \"" + r.pool() + "\", which does not hold " + (from == to ? "it" : "all of it"),
+            const auto set =
+                from == to ? std::to_string(from) : std::to_string(from) + '-' + std::to_string(to);
+            error(places_.of(r, "pool"),
+                  "route \"" + r.name() + "\" sends destination " + set + " to pool \"" + r.pool() +
+                      "\", which does not hold " + (from == to ? "it" : "all of it"),
                   "add it to the pool, or narrow the route");
             return;
         }
     }
 
     void routes() {
-        std::set<int> used;
         for (const auto& r : config_.route()) {
             plan::RouteRule route;
             route.name = r.name();
             route.match = match(r.match());
             route.priority = r.priority();
             if (r.has_pool() && r.has_refuse())
-                error(places_.of(r, "refuse"), "route \"" + r.name() + "\" both has a pool and refuses", "keep one of the two");
+                error(places_.of(r, "refuse"), "route \"" + r.name() + "\" both has a pool and refuses",
+                      "keep one of the two");
             const bool judged = places_.tried(r, "pool") || places_.tried(r, "refuse");
             if (!r.has_pool() && !r.has_refuse() && !judged)
-                error(places_.of(r), "route \"" + r.name() + "\" neither has a pool nor refuses", "add pool: \"...\" or refuse { pause: \"...\" }");
-            if (r.has_refuse() && r.refuse().has_pause()) route.refuse_pause_ms = duration_ms(r.refuse().pause());
+                error(places_.of(r), "route \"" + r.name() + "\" neither has a pool nor refuses",
+                      "add pool: \"...\" or refuse { pause: \"...\" }");
+            if (r.has_refuse() && r.refuse().has_pause())
+                route.refuse_pause_ms = duration_ms(r.refuse().pause());
             if (r.has_pool()) {
                 route.pool = refer(config_.pool(), r, "pool", r.pool(), "pool");
                 if (route.pool != plan::none) {
-                    used.insert(route.pool);
                     const auto& members = pool_members_[static_cast<std::size_t>(route.pool)];
                     if (r.match().destination_size() == 0)
                         route.match.destinations = members;
                     else if (!route.match.nothing)
                         check_pool_holds(r, route.match, route.pool);
-                    route.match.nothing = route.match.nothing || (members.empty() && r.match().destination_size() == 0);
+                    route.match.nothing =
+                        route.match.nothing || (members.empty() && r.match().destination_size() == 0);
                 }
             }
             rules_.routes.push_back(std::move(route));
         }
-        for (int i = 0; i < config_.pool_size(); ++i)
-            if (used.count(i) == 0 && !config_.pool(i).name().empty() && (config_.pool(i).destination_size() > 0 || config_.pool(i).label_size() > 0))
-                findings_.warn(places_.of(config_.pool(i)), "no route uses pool \"" + config_.pool(i).name() + '"', "add a route to it, or remove it");
         constexpr int most_routes = 65535;  // counts by route tell so many apart
-        if (config_.route_size() > most_routes) error(places_.of(config_.route(most_routes)), "more than " + std::to_string(most_routes) + " routes", "join some of them");
+        if (config_.route_size() > most_routes)
+            error(places_.of(config_.route(most_routes)),
+                  "more than " + std::to_string(most_routes) + " routes", "join some of them");
     }
 
     int route_of(const google::protobuf::Message& by, bool has, const std::string& name) {
@@ -266,12 +316,14 @@
             if (l.has_route() && limit.route == plan::none) limit.match.nothing = true;
             std::set<plan::Dimension> by;
             for (int i = 0; i < l.by_size(); ++i) {
-                const auto dimension = l.by(i) == v1::TENANT ? plan::Dimension::tenant
+                const auto dimension = l.by(i) == v1::TENANT  ? plan::Dimension::tenant
                                        : l.by(i) == v1::CLASS ? plan::Dimension::message_class
                                        : l.by(i) == v1::ROUTE ? plan::Dimension::route
                                                               : plan::Dimension::destination;
                 if (!by.insert(dimension).second)
-                    error(places_.of(l, "by", i), "limit \"" + l.name() + "\" counts by " + v1::Dimension_Name(l.by(i)) + " twice", "keep one of them");
+                    error(places_.of(l, "by", i),
+                          "limit \"" + l.name() + "\" counts by " + v1::Dimension_Name(l.by(i)) + " twice",
+                          "keep one of them");
             }
             limit.by.assign(by.begin(), by.end());
             if (l.has_rate()) limit.rate = rate_per_s(l.rate());
@@ -280,54 +332,85 @@
             if (l.has_held_bytes()) limit.held_bytes = bytes_of(l.held_bytes());
             if (l.has_lend()) limit.lend = part_of(l.lend());
             if (l.has_horizon()) limit.horizon_ms = duration_ms(l.horizon());
-            const bool tried = places_.tried(l, "rate") || places_.tried(l, "held") || places_.tried(l, "held_bytes");
+            const bool tried =
+                places_.tried(l, "rate") || places_.tried(l, "held") || places_.tried(l, "held_bytes");
             if (!l.has_rate() && !l.has_held() && !l.has_held_bytes() && !tried)
-                error(places_.of(l), "limit \"" + l.name() + "\" limits nothing", "add rate, held or held_bytes");
+                error(places_.of(l), "limit \"" + l.name() + "\" limits nothing",
+                      "add rate, held or held_bytes");
             if (l.has_burst() && !l.has_rate() && !places_.tried(l, "rate"))
-                error(places_.of(l, "burst"), "limit \"" + l.name() + "\" has a burst and no rate", "add a rate, or remove the burst");
+                error(places_.of(l, "burst"), "limit \"" + l.name() + "\" has a burst and no rate",
+                      "add a rate, or remove the burst");
             guarantees(l, limit);
             if (l.has_lend() && limit.guarantees.empty())
-                error(places_.of(l, "lend"), "limit \"" + l.name() + "\" lends and guarantees nothing", "add a guarantee, or remove lend");
+                error(places_.of(l, "lend"), "limit \"" + l.name() + "\" lends and guarantees nothing",
+                      "add a guarantee, or remove lend");
             rules_.limits.push_back(std::move(limit));
         }
     }
 
     void guarantees(const v1::Limit& l, plan::LimitRule& limit) {
         std::int64_t sum = 0;
-        std::map<std::string, const v1::Guarantee*> seen;
+        std::map<std::pair<plan::Dimension, std::string>, const v1::Guarantee*> seen;
         constexpr int most_guarantees = 256;  // each is looked at where a limit lends
         for (const auto& g : l.guarantee()) {
             const int owners = int{g.has_tenant()} + int{g.has_class_()} + int{g.has_route()};
             if (owners != 1) {
-                const bool tried = places_.tried(g, "tenant") || places_.tried(g, "class") || places_.tried(g, "route");
-                if (owners > 1 || !tried) error(places_.of(g), owners == 0 ? "this guarantee belongs to nobody" : "this guarantee belongs to several", "name one tenant, class or route");
+                const bool tried =
+                    places_.tried(g, "tenant") || places_.tried(g, "class") || places_.tried(g, "route");
+                if (owners > 1 || !tried)
+                    error(places_.of(g),
+                          owners == 0 ? "this guarantee belongs to nobody"
+                                      : "this guarantee belongs to several",
+                          "name one tenant, class or route");
                 continue;
             }
             plan::Guarantee out;
-            out.of = g.has_tenant() ? plan::Dimension::tenant : g.has_class_() ? plan::Dimension::message_class : plan::Dimension::route;
+            out.of = g.has_tenant()   ? plan::Dimension::tenant
+                     : g.has_class_() ? plan::Dimension::message_class
+                                      : plan::Dimension::route;
             out.name = g.has_tenant() ? g.tenant() : g.has_class_() ? g.class_() : g.route();
-            if (g.has_route() && refer(config_.route(), g, "route", g.route(), "route") == plan::none) continue;
-            if (platform_ != nullptr && g.has_tenant() && !platform_->tenants.empty() && std::find(platform_->tenants.begin(), platform_->tenants.end(), out.name) == platform_->tenants.end()) {
+            if (g.has_route() && refer(config_.route(), g, "route", g.route(), "route") == plan::none)
+                continue;
+            if (platform_ != nullptr && g.has_tenant() && !platform_->tenants.empty() &&
+                std::find(platform_->tenants.begin(), platform_->tenants.end(), out.name) ==
+                    platform_->tenants.end()) {
                 const auto near = nearest(out.name, platform_->tenants);
-                error(places_.of(g, "tenant"), "the platform has no tenant \"" + out.name + '"', near.empty() ? "remove it" : "write \"" + near + '"');
+                error(places_.of(g, "tenant"), "the platform has no tenant \"" + out.name + '"',
+                      near.empty() ? "remove it" : "write \"" + near + '"');
             }
-            if (platform_ != nullptr && g.has_class_() && std::find(class_names().begin(), class_names().end(), out.name) == class_names().end()) {
+            if (platform_ != nullptr && g.has_class_() &&
+                std::find(class_names().begin(), class_names().end(), out.name) == class_names().end()) {
                 const auto near = nearest(out.name, class_names());
-                error(places_.of(g, "class"), "the platform has no class \"" + out.name + '"', near.empty() ? "remove it" : "write \"" + near + '"');
+                error(places_.of(g, "class"), "the platform has no class \"" + out.name + '"',
+                      near.empty() ? "remove it" : "write \"" + near + '"');
             }
             out.part = part_of(g.part());
             if (!limit.guarantees.empty() && limit.guarantees.front().of != out.of)
-                error(places_.of(g), "limit \"" + l.name() + "\" guarantees parts to different kinds of owners", "use tenants, classes or routes alone");
+                error(places_.of(g),
+                      "limit \"" + l.name() + "\" guarantees parts to different kinds of owners",
+                      "use tenants, classes or routes alone");
             if (std::find(limit.by.begin(), limit.by.end(), out.of) != limit.by.end())
-                error(places_.of(g), "limit \"" + l.name() + "\" counts by the same that it guarantees parts of", "remove it from `by`, or remove the guarantee");
-            const auto [first, fresh] = seen.emplace(out.name, &g);
-            if (!fresh) error(places_.of(g), "\"" + out.name + "\" has a guarantee already, at " + to_text(places_.of(*first->second)), "keep one of them");
+                error(places_.of(g),
+                      "limit \"" + l.name() + "\" counts by the same that it guarantees parts of",
+                      "remove it from `by`, or remove the guarantee");
+            const auto [first, fresh] = seen.emplace(std::pair(out.of, out.name), &g);
+            if (!fresh)
+                error(
+                    places_.of(g),
+                    "\"" + out.name + "\" has a guarantee already, at " + to_text(places_.of(*first->second)),
+                    "keep one of them");
             sum += quantity(Unit::share, g.part()).value;
             limit.guarantees.push_back(std::move(out));
         }
         if (sum > 100'000)
-            error(places_.of(l, "guarantee"), "the guarantees of limit \"" + l.name() + "\" come to " + write_quantity(Unit::share, {sum}) + " of it", "lower them to 100% together");
-        if (l.guarantee_size() > most_guarantees) error(places_.of(l, "guarantee", most_guarantees), "more than " + std::to_string(most_guarantees) + " guarantees", "join some owners in a limit of their own");
+            error(places_.of(l, "guarantee"),
+                  "the guarantees of limit \"" + l.name() + "\" come to " +
+                      write_quantity(Unit::share, {sum}) + " of it",
+                  "lower them to 100% together");
+        if (l.guarantee_size() > most_guarantees)
+            error(places_.of(l, "guarantee", most_guarantees),
+                  "more than " + std::to_string(most_guarantees) + " guarantees",
+                  "join some owners in a limit of their own");
     }
 
     void policies() {
@@ -347,8 +430,11 @@
                 if (b.has_saved()) policy.budget->saved = b.saved();
             }
             const auto own = places_.of(p);
-            const bool tried = places_.tried(p, "deadline") || places_.tried(p, "attempts") || places_.tried(p, "retry_budget");
-            if (!tried) error(own, "policy \"" + p.name() + "\" says nothing", "add deadline, attempts or retry_budget");
+            const bool tried = places_.tried(p, "deadline") || places_.tried(p, "attempts") ||
+                               places_.tried(p, "retry_budget");
+            if (!tried)
+                error(own, "policy \"" + p.name() + "\" says nothing",
+                      "add deadline, attempts or retry_budget");
             if (platform_ != nullptr) narrower(p, policy);
             rules_.policies.push_back(std::move(policy));
         }
@@ -357,13 +443,20 @@
     // A policy may only take away from what the decision module was given.
     void narrower(const v1::Policy& p, const plan::PolicyRule& policy) {
         if (policy.attempts && platform_->attempts > 0 && *policy.attempts > platform_->attempts)
-            error(places_.of(p, "attempts"), "policy \"" + p.name() + "\" allows more attempts than the decision module's " + std::to_string(platform_->attempts), "write " + std::to_string(platform_->attempts) + " or less");
+            error(places_.of(p, "attempts"),
+                  "policy \"" + p.name() + "\" allows more attempts than the decision module's " +
+                      std::to_string(platform_->attempts),
+                  "write " + std::to_string(platform_->attempts) + " or less");
         double longest = 0;
         for (const auto& c : platform_->classes)
-            if (policy.match.classes.empty() || std::any_of(policy.match.classes.begin(), policy.match.classes.end(), [&](const auto& x) { return x.matches(c.name); }))
+            if (policy.match.classes.empty() ||
+                std::any_of(policy.match.classes.begin(), policy.match.classes.end(),
+                            [&](const auto& x) { return x.matches(c.name); }))
                 longest = std::max(longest, c.deadline_ms);
         if (policy.deadline_ms && longest > 0 && *policy.deadline_ms > longest)
-            error(places_.of(p, "deadline"), "policy \"" + p.name() + "\" has a later deadline than its classes' " + shown_ms(longest), "write \"" + shown_ms(longest) + "\" or less");
+            error(places_.of(p, "deadline"),
+                  "policy \"" + p.name() + "\" has a later deadline than its classes' " + shown_ms(longest),
+                  "write \"" + shown_ms(longest) + "\" or less");
     }
 
     void bounds() {
@@ -379,6 +472,16 @@
         if (b.has_bookings()) out.bookings = b.bookings();
     }
 
+    void unused() {
+        std::set<int> used;
+        for (const auto& route : rules_.routes) used.insert(route.pool);
+        for (int i = 0; i < config_.pool_size(); ++i)
+            if (used.count(i) == 0)
+                findings_.warn(places_.of(config_.pool(i)),
+                               "no route uses pool \"" + config_.pool(i).name() + '"',
+                               "add a route to it, or remove it");
+    }
+
     // Routes that never hold, and pairs of which neither comes first.
     void overlaps() {
         plan::Names names = names_in(rules_);
@@ -391,14 +494,23 @@
             const auto found = plan.route_index().analyse();
             for (const auto& [rule, other] : found.ambiguous) {
                 const auto &a = config_.route(rule), &b = config_.route(other);
-                error(places_.of(a), "route \"" + a.name() + "\" and route \"" + b.name() + "\" at " + to_text(places_.of(b)) + " match the same message equally exactly", "give one of them a priority");
+                error(places_.of(a),
+                      "route \"" + a.name() + "\" and route \"" + b.name() + "\" at " +
+                          to_text(places_.of(b)) + " match the same message equally exactly",
+                      "give one of them a priority");
             }
             for (const auto& [rule, other] : found.hidden) {
                 const auto &a = config_.route(rule), &b = config_.route(other);
-                findings_.warn(places_.of(a), "route \"" + a.name() + "\" never holds: route \"" + b.name() + "\" at " + to_text(places_.of(b)) + " comes before it", "raise its priority, or remove it");
+                findings_.warn(places_.of(a),
+                               "route \"" + a.name() + "\" never holds: route \"" + b.name() + "\" at " +
+                                   to_text(places_.of(b)) + " comes before it",
+                               "raise its priority, or remove it");
             }
         } catch (const plan::TooManyCells& entry) {
-            error({}, std::string("\"") + entry.what() + "\" matches too many combinations of destinations, tenants and classes", "match fewer values, or the beginning of a name");
+            error({},
+                  std::string("\"") + entry.what() +
+                      "\" matches too many combinations of destinations, tenants and classes",
+                  "match fewer values, or the beginning of a name");
         }
     }
 
--- a/src/lang/load.hpp
+++ b/src/lang/load.hpp
@@ -30,8 +30,8 @@
 struct Document {
     config::v1::Operator config;
     Places places;
-    std::vector<std::string> files;   // in the order in which they were read
-    bool whole = true;                // every file could be read
+    std::vector<std::string> files;  // in the order in which they were read
+    bool whole = true;               // every file could be read
     // The sources and trees that places and names refer to.
     std::deque<std::string> sources;
 };
@@ -42,8 +42,8 @@
 void read(const std::string& path, const Files& files, Document& document, Findings& findings);
 // Judges a document as a whole and compiles it. Rules that are returned beside errors must not be used.
 plan::Rules compile(const Document& document, const Platform* platform, Findings& findings);
-// The names that rules speak of, and for each beginning of a name one that stands for all others with it: what
-// a configuration is judged by where the platform's names are not at hand.
+// The names that rules speak of, and for each beginning of a name one that stands for all others with it:
+// what a configuration is judged by where the platform's names are not at hand.
 plan::Names names_in(const plan::Rules& rules);
 
 }  // namespace brasslift::lang
--- a/src/lang/meaning.cpp
+++ b/src/lang/meaning.cpp
@@ -14,9 +14,11 @@
 std::string key_of(const pb::Message& message) {
     const auto& type = *message.GetDescriptor();
     const auto* const reflection = message.GetReflection();
-    if (const auto* const name = type.FindFieldByName("name"); name != nullptr) return reflection->GetString(message, name);
+    if (const auto* const name = type.FindFieldByName("name"); name != nullptr)
+        return reflection->GetString(message, name);
     for (const char* const owner : {"tenant", "class", "route"})
-        if (const auto* const field = type.FindFieldByName(owner); field != nullptr && !field->is_repeated() && reflection->HasField(message, field))
+        if (const auto* const field = type.FindFieldByName(owner);
+            field != nullptr && !field->is_repeated() && reflection->HasField(message, field))
             return std::string(owner) + ' ' + quote(reflection->GetString(message, field));
     return {};
 }
@@ -26,8 +28,10 @@
     const bool many = field.is_repeated();
     switch (field.cpp_type()) {
         case pb::FieldDescriptor::CPPTYPE_STRING:
-            return quote(canonical(field, many ? r->GetRepeatedString(m, &field, index) : r->GetString(m, &field)));
-        case pb::FieldDescriptor::CPPTYPE_ENUM: return (many ? r->GetRepeatedEnum(m, &field, index) : r->GetEnum(m, &field))->name();
+            return quote(
+                canonical(field, many ? r->GetRepeatedString(m, &field, index) : r->GetString(m, &field)));
+        case pb::FieldDescriptor::CPPTYPE_ENUM:
+            return (many ? r->GetRepeatedEnum(m, &field, index) : r->GetEnum(m, &field))->name();
         case pb::FieldDescriptor::CPPTYPE_INT32: return std::to_string(r->GetInt32(m, &field));
         case pb::FieldDescriptor::CPPTYPE_UINT32: return std::to_string(r->GetUInt32(m, &field));
         default: return {};
@@ -52,14 +56,19 @@
         const auto* const reflection = config.GetReflection();
         for (int i = 0; i < type.field_count(); ++i) {
             const auto& field = *type.field(i);
-            if (field.cpp_type() != pb::FieldDescriptor::CPPTYPE_MESSAGE) continue;  // includes: where, not what
+            if (field.cpp_type() != pb::FieldDescriptor::CPPTYPE_MESSAGE)
+                continue;  // includes: where, not what
             if (!field.is_repeated()) {
-                if (reflection->HasField(config, &field)) add(field.name(), reflection->GetMessage(config, &field));
+                if (reflection->HasField(config, &field))
+                    add(field.name(), reflection->GetMessage(config, &field));
                 continue;
             }
-            for (int n = 0; n < reflection->FieldSize(config, &field); ++n) add(field.name(), reflection->GetRepeatedMessage(config, &field, n));
+            for (int n = 0; n < reflection->FieldSize(config, &field); ++n)
+                add(field.name(), reflection->GetRepeatedMessage(config, &field, n));
         }
-        std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) { return std::pair(a.kind, a.name) < std::pair(b.kind, b.name); });
+        std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) {
+            return std::pair(a.kind, a.name) < std::pair(b.kind, b.name);
+        });
         return std::move(entries_);
     }
 
@@ -94,14 +103,16 @@
             const auto standard = standard_of(field);
             if (field.is_repeated()) {
                 std::set<std::string> values;  // an order or a repetition means nothing
-                for (int n = 0; n < reflection->FieldSize(message, &field); ++n) values.insert(single(message, field, n));
+                for (int n = 0; n < reflection->FieldSize(message, &field); ++n)
+                    values.insert(single(message, field, n));
                 if (values.empty()) continue;
                 std::string all;
                 for (const auto& value : values) all += (all.empty() ? "" : ", ") + value;
                 entry.fields[at] = {'[' + all + ']', document_.places.of(message, field.name())};
             } else if (reflection->HasField(message, &field)) {
                 const auto value = single(message, field, 0);
-                if (standards_ || value != standard) entry.fields[at] = {value, document_.places.of(message, field.name())};
+                if (standards_ || value != standard)
+                    entry.fields[at] = {value, document_.places.of(message, field.name())};
             } else if (standards_ && !standard.empty()) {
                 entry.fields[at] = {standard, {}};
             }
@@ -113,7 +124,9 @@
     std::vector<Entry> entries_;
 };
 
-std::string entry_name(const std::string& kind, const std::string& name) { return name.empty() ? kind : kind + ' ' + quote(name); }
+std::string entry_name(const std::string& kind, const std::string& name) {
+    return name.empty() ? kind : kind + ' ' + quote(name);
+}
 
 class Shower {
 public:
@@ -156,7 +169,9 @@
 
 }  // namespace
 
-std::vector<Entry> meaning_of(const Document& document, bool with_standards) { return Flattener(document, with_standards).run(); }
+std::vector<Entry> meaning_of(const Document& document, bool with_standards) {
+    return Flattener(document, with_standards).run();
+}
 
 std::vector<Change> differences(const Document& before, const Document& after) {
     const auto old_entries = meaning_of(before, false), new_entries = meaning_of(after, false);
@@ -167,11 +182,14 @@
     for (const auto& [id, pair] : both) {
         const auto& [old_entry, new_entry] = pair;
         if (old_entry == nullptr || new_entry == nullptr) {
-            changes.push_back({old_entry == nullptr ? Change::Kind::added : Change::Kind::removed, id.first, id.second, "", "", ""});
+            changes.push_back({old_entry == nullptr ? Change::Kind::added : Change::Kind::removed, id.first,
+                               id.second, "", "", ""});
             const auto& there = old_entry == nullptr ? *new_entry : *old_entry;
             for (const auto& [path, value] : there.fields) {
                 if (path == "name") continue;
-                changes.push_back({changes.back().kind, id.first, id.second, path, old_entry == nullptr ? "" : value.text, old_entry == nullptr ? value.text : ""});
+                changes.push_back({changes.back().kind, id.first, id.second, path,
+                                   old_entry == nullptr ? "" : value.text,
+                                   old_entry == nullptr ? value.text : ""});
             }
             continue;
         }
@@ -196,7 +214,8 @@
         if (!c.field.empty()) {
             out += ": " + c.field + ": ";
             if (c.kind == Change::Kind::changed)
-                out += (c.before.empty() ? "(absent)" : c.before) + " -> " + (c.after.empty() ? "(absent)" : c.after);
+                out += (c.before.empty() ? "(absent)" : c.before) + " -> " +
+                       (c.after.empty() ? "(absent)" : c.after);
             else
                 out += c.before + c.after;
         }
@@ -209,8 +228,11 @@
     std::string out = "[";
     for (const auto& c : changes) {
         if (out.size() > 1) out += ",\n ";
-        const char* const kind = c.kind == Change::Kind::added ? "added" : c.kind == Change::Kind::removed ? "removed" : "changed";
-        out += std::string("{\"change\":\"") + kind + "\",\"entry\":" + json_text(c.entry) + ",\"name\":" + json_text(c.name) + ",\"field\":" + json_text(c.field) +
+        const char* const kind = c.kind == Change::Kind::added     ? "added"
+                                 : c.kind == Change::Kind::removed ? "removed"
+                                                                   : "changed";
+        out += std::string("{\"change\":\"") + kind + "\",\"entry\":" + json_text(c.entry) +
+               ",\"name\":" + json_text(c.name) + ",\"field\":" + json_text(c.field) +
                ",\"before\":" + json_text(c.before) + ",\"after\":" + json_text(c.after) + '}';
     }
     return out + "]\n";
--- a/src/lang/meaning.hpp
+++ b/src/lang/meaning.hpp
@@ -42,6 +42,7 @@
     std::string tenant, message_class;
     int destination = 0;
 };
-std::string explain(const Document& document, const plan::Rules& rules, const plan::Names& names, const Question& question, bool all);
+std::string explain(const Document& document, const plan::Rules& rules, const plan::Names& names,
+                    const Question& question, bool all);
 
 }  // namespace brasslift::lang
--- a/src/lang/read.cpp
+++ b/src/lang/read.cpp
@@ -11,13 +11,15 @@
 
 class Loader {
 public:
-    Loader(const Files& files, Document& document, Findings& findings) : files_(files), document_(document), findings_(findings) {}
+    Loader(const Files& files, Document& document, Findings& findings)
+        : files_(files), document_(document), findings_(findings) {}
 
     void read(const std::string& path) {
         const auto found = files_.find(path);
         if (const auto* const failure = std::get_if<Files::Failure>(&found)) {
             document_.whole = false;
-            return findings_.error({path, 0, 0}, "the file cannot be found: " + failure->what, "check the path");
+            return findings_.error({path, 0, 0}, "the file cannot be found: " + failure->what,
+                                   "check the path");
         }
         const auto& canonical = std::get<std::string>(found);
         root_ = fs::path(canonical).parent_path();
@@ -34,7 +36,8 @@
             document_.whole = false;
             findings_.error(from, std::move(what), std::move(fix));
         };
-        if (const auto loop = std::find_if(open_.begin(), open_.end(), [&](const Open& o) { return o.canonical == canonical; });
+        if (const auto loop = std::find_if(open_.begin(), open_.end(),
+                                           [&](const Open& o) { return o.canonical == canonical; });
             loop != open_.end()) {
             std::string chain;
             for (auto it = loop; it != open_.end(); ++it) chain += it->shown + " -> ";
@@ -49,10 +52,13 @@
         const auto contents = files_.read(canonical, most_file_bytes);
         if (const auto* const failure = std::get_if<Files::Failure>(&contents)) {
             if (from.line == 0) return fault("the file cannot be read: " + failure->what, "check the path");
-            return fault("the included file \"" + shown + "\" cannot be read: " + failure->what, "correct the path, or remove the include");
+            return fault("the included file \"" + shown + "\" cannot be read: " + failure->what,
+                         "correct the path, or remove the include");
         }
         bytes_ += std::get<std::string>(contents).size();
-        if (bytes_ > most_bytes) return fault("the files hold more than " + std::to_string(most_bytes) + " bytes", "remove what is not needed");
+        if (bytes_ > most_bytes)
+            return fault("the files hold more than " + std::to_string(most_bytes) + " bytes",
+                         "remove what is not needed");
         document_.files.push_back(shown);
         const auto& source = document_.sources.emplace_back(std::get<std::string>(contents));
         const auto tree = read_tree(shown, source, findings_);
@@ -72,15 +78,19 @@
             document_.whole = false;
             findings_.error(from, std::move(what), std::move(fix));
         };
-        if (fs::path(path).is_absolute()) return fault("the include \"" + path + "\" is an absolute path", "write it relative to this file");
+        if (fs::path(path).is_absolute())
+            return fault("the include \"" + path + "\" is an absolute path",
+                         "write it relative to this file");
         const auto shown = (fs::path(by).parent_path() / path).lexically_normal().string();
         const auto found = files_.find(shown);
         if (const auto* const failure = std::get_if<Files::Failure>(&found))
-            return fault("the included file \"" + shown + "\" cannot be found: " + failure->what, "correct the path");
+            return fault("the included file \"" + shown + "\" cannot be found: " + failure->what,
+                         "correct the path");
         const auto& canonical = std::get<std::string>(found);
         const auto within = fs::path(canonical).lexically_relative(root_);
         if (within.empty() || *within.begin() == "..")
-            return fault("the include \"" + path + "\" leaves the folder of the first file", "move the file there, or start from a file above both");
+            return fault("the include \"" + path + "\" leaves the folder of the first file",
+                         "move the file there, or start from a file above both");
         file(from, shown, canonical);
     }
 
--- a/src/lang/source.cpp
+++ b/src/lang/source.cpp
@@ -23,7 +23,11 @@
 std::size_t first_bad_utf8(std::string_view text) {
     for (std::size_t i = 0; i < text.size();) {
         const auto c = static_cast<unsigned char>(text[i]);
-        const std::size_t more = c < 0x80 ? 0 : c >= 0xc2 && c < 0xe0 ? 1 : (c & 0xf0) == 0xe0 ? 2 : c >= 0xf0 && c < 0xf5 ? 3 : 9;
+        const std::size_t more = c < 0x80                ? 0
+                                 : c >= 0xc2 && c < 0xe0 ? 1
+                                 : (c & 0xf0) == 0xe0    ? 2
+                                 : c >= 0xf0 && c < 0xf5 ? 3
+                                                         : 9;
         if (more == 9 || i + more >= text.size()) return i;
         std::uint32_t point = more == 0 ? c : c & (0x3f >> more);
         for (std::size_t j = 1; j <= more; ++j) {
@@ -59,9 +63,9 @@
 
 std::string to_json(const Finding& f) {
     return "{\"file\":" + json_text(f.at.file) + ",\"line\":" + std::to_string(f.at.line) +
-           ",\"column\":" + std::to_string(f.at.column) + ",\"severity\":" +
-           (f.severity == Severity::error ? "\"error\"" : "\"warning\"") + ",\"what\":" + json_text(f.what) +
-           ",\"fix\":" + json_text(f.fix) + '}';
+           ",\"column\":" + std::to_string(f.at.column) +
+           ",\"severity\":" + (f.severity == Severity::error ? "\"error\"" : "\"warning\"") +
+           ",\"what\":" + json_text(f.what) + ",\"fix\":" + json_text(f.fix) + '}';
 }
 
 void Findings::add(Finding finding) {
@@ -88,7 +92,7 @@
 
 std::variant<std::string, Files::Failure> Disk::find(const std::string& path) const {
     std::error_code error;
-    auto found = std::filesystem::weakly_canonical(path, error);
+    auto found = std::filesystem::weakly_canonical(std::filesystem::absolute(path, error), error);
     if (error) return Failure{error.message()};
     return found.string();
 }
--- a/src/lang/source.hpp
+++ b/src/lang/source.hpp
@@ -9,7 +9,7 @@
 namespace brasslift::lang {
 
 struct Place {
-    std::string file;  // as the command line or an include reaches it
+    std::string file;          // as the command line or an include reaches it
     int line = 0, column = 0;  // from 1; 0: the file as a whole. Columns count bytes.
     auto operator<=>(const Place&) const = default;
 };
--- a/src/lang/tokens.cpp
+++ b/src/lang/tokens.cpp
@@ -39,7 +39,8 @@
                 return tokens;
             }
             if (tokens.size() >= most_tokens)
-                findings_.error({file_, line_, column_}, "the file has too many tokens", "split it by includes");
+                findings_.error({file_, line_, column_}, "the file has too many tokens",
+                                "split it by includes");
             token.text = source_.substr(from, at_ - from);
             tokens.push_back(token);
             if (token.kind == Token::Kind::end) return tokens;
@@ -49,8 +50,7 @@
 private:
     bool sound() {
         const auto fault = [&](std::size_t where, const std::string& what, const std::string& fix) {
-            for (; at_ < where; step()) {
-            }
+            for (; at_ < where; step()) {}
             findings_.error({file_, line_, column_}, what, fix);
             return false;
         };
@@ -109,9 +109,10 @@
             step();
             return true;
         }
-        const auto shown = c < 0x20 || static_cast<unsigned char>(c) >= 0x7f ? "this character" : std::string("'") + c + '\'';
+        const auto shown = c < 0x20 || static_cast<unsigned char>(c) >= 0x7f ? "this character"
+                                                                             : std::string("'") + c + '\'';
         findings_.error({file_, token.line, token.column}, shown + " has no meaning here",
-                        c == '/' ? "begin a comment with '#'"
+                        c == '/'   ? "begin a comment with '#'"
                         : c == '=' ? "write ':' between a field and its value"
                                    : "remove it, or put the text in quotes");
         return false;
@@ -126,7 +127,8 @@
             step();
         }
         if (at_ >= source_.size() || source_[at_] == '\n') {
-            findings_.error({file_, token.line, token.column}, "the text that begins here does not end on its line",
+            findings_.error({file_, token.line, token.column},
+                            "the text that begins here does not end on its line",
                             std::string("close it with ") + quote);
             return false;
         }
@@ -161,7 +163,8 @@
             out.text += means[place];
         } else if (c >= '0' && c <= '7') {
             int value = 0;
-            for (int n = 0; n < 3 && token[i] >= '0' && token[i] <= '7'; ++n) value = value * 8 + (token[i++] - '0');
+            for (int n = 0; n < 3 && token[i] >= '0' && token[i] <= '7'; ++n)
+                value = value * 8 + (token[i++] - '0');
             --i;
             out.text += static_cast<char>(value);
         } else if ((c == 'x' || c == 'X') && hex(token[i + 1]) >= 0) {
--- a/src/lang/tree.cpp
+++ b/src/lang/tree.cpp
@@ -17,7 +17,8 @@
     void read(Tree& tree) {
         while (!at(Kind::end)) {
             if (is('}') || is('>') || is(']')) {
-                fault(std::string("nothing is open that this '") + next().text[0] + "' could close", "remove it");
+                fault(std::string("nothing is open that this '") + next().text[0] + "' could close",
+                      "remove it");
             } else {
                 Field field;
                 if (read_field(field, 1)) tree.fields.push_back(std::move(field));
@@ -36,7 +37,10 @@
     // Comments are set aside as they come; whoever is next takes them.
     void gather() {
         while (tokens_[at_].kind == Kind::comment) {
-            if (comments_.empty()) comments_blank_ = tokens_[at_].blank_lines > 0;
+            if (comments_.empty())
+                comments_blank_ = tokens_[at_].blank_lines > 0;
+            else if (tokens_[at_].blank_lines > 0)
+                comments_.emplace_back();
             comments_.push_back(tokens_[at_++].text);
         }
     }
@@ -66,7 +70,8 @@
     }
 
     static std::string shown(const Token& token) {
-        return token.kind == Kind::end ? "the end of the file" : '\'' + std::string(token.text.substr(0, 40)) + '\'';
+        return token.kind == Kind::end ? "the end of the file"
+                                       : '\'' + std::string(token.text.substr(0, 40)) + '\'';
     }
 
     // A comment on the line where a field ends is that field's.
@@ -77,13 +82,16 @@
 
     bool read_field(Field& field, int depth) {
         const Token name = next();
+        const bool set_apart = !comments_.empty() && name.blank_lines > 0;
         field.before = std::exchange(comments_, {});
+        if (set_apart) field.before.emplace_back();
         field.blank_before = field.before.empty() ? name.blank_lines > 0 : comments_blank_;
         field.line = name.line;
         field.column = name.column;
         if (name.kind != Kind::name) {
             fault_at(name, "a field's name should stand here, not " + shown(name),
-                     name.kind == Kind::text ? "write the field and ':' before the value" : "write NAME: VALUE or NAME { ... }");
+                     name.kind == Kind::text ? "write the field and ':' before the value"
+                                             : "write NAME: VALUE or NAME { ... }");
             return false;
         }
         field.name = name.text;
@@ -93,7 +101,9 @@
         if (is('{') || is('<')) {
             if (!read_block(field, depth)) return false;
         } else if (is('[')) {
-            if (!colon) return fault("a list needs ':' before it", "write " + std::string(name.text) + ": [...]"), false;
+            if (!colon)
+                return fault("a list needs ':' before it", "write " + std::string(name.text) + ": [...]"),
+                       false;
             if (!read_list(field, depth)) return false;
         } else if (!colon) {
             return fault("':' or '{' should follow '" + std::string(name.text) + "', not " + shown(next()),
@@ -106,8 +116,11 @@
         std::move(comments_.begin(), comments_.end(), std::back_inserter(field.before));
         comments_.clear();
         take_behind(field);
-        if (tokens_[at_].kind == Kind::mark && (tokens_[at_].text == "," || tokens_[at_].text == ";")) {
-            ++at_;
+        // A separator may come lines later; comments on the way to it are the next one's.
+        auto ahead = at_;
+        while (tokens_[ahead].kind == Kind::comment) ++ahead;
+        if (tokens_[ahead].kind == Kind::mark && (tokens_[ahead].text == "," || tokens_[ahead].text == ";")) {
+            take();
             take_behind(field);
         }
         return true;
@@ -124,15 +137,19 @@
             while (!comments_.empty() && tokens_[at_ - 1].kind == Kind::comment) {
                 --at_;
                 comments_.pop_back();
+                if (!comments_.empty() && comments_.back().empty()) comments_.pop_back();
             }
             return true;
         }
         if (is('-')) {
             field.value.push_back(take());
-            if (!at(Kind::number) && !at(Kind::name)) return fault("a number should follow '-'", "write -1, for example"), false;
+            if (!at(Kind::number) && !at(Kind::name))
+                return fault("a number should follow '-'", "write -1, for example"), false;
         }
         if (!at(Kind::number) && !at(Kind::name))
-            return fault("a value should stand here, not " + shown(next()), "write a text in quotes, a number or a name"), false;
+            return fault("a value should stand here, not " + shown(next()),
+                         "write a text in quotes, a number or a name"),
+                   false;
         field.value.push_back(take());
         return true;
     }
@@ -143,17 +160,22 @@
         field.value_line = open.line;
         field.value_column = open.column;
         if (depth >= most_depth)
-            return fault_at(open, "blocks are nested more than " + std::to_string(most_depth) + " deep", "nothing needs that; remove some"), false;
+            return fault_at(open, "blocks are nested more than " + std::to_string(most_depth) + " deep",
+                            "nothing needs that; remove some"),
+                   false;
         const char close = open.text[0] == '{' ? '}' : '>';
         auto own = std::exchange(comments_, {});  // between the name and the bracket
         std::move(own.begin(), own.end(), std::back_inserter(field.before));
         while (!is(close)) {
             if (at(Kind::end))
-                return fault_at(open, std::string("the '") + open.text[0] + "' of '" + std::string(field.name) + "' is never closed",
+                return fault_at(open,
+                                std::string("the '") + open.text[0] + "' of '" + std::string(field.name) +
+                                    "' is never closed",
                                 std::string("write '") + close + "' where it ends"),
                        false;
             if (is('}') || is('>') || is(']'))
-                return fault(std::string("'") + next().text[0] + "' does not close the '" + open.text[0] + "' of line " + std::to_string(open.line),
+                return fault(std::string("'") + next().text[0] + "' does not close the '" + open.text[0] +
+                                 "' of line " + std::to_string(open.line),
                              std::string("write '") + close + '\''),
                        false;
             Field child;
@@ -174,7 +196,10 @@
         auto own = std::exchange(comments_, {});
         std::move(own.begin(), own.end(), std::back_inserter(field.before));
         while (!is(']')) {
-            if (at(Kind::end)) return fault_at(open, "the '[' of '" + std::string(field.name) + "' is never closed", "write ']' where it ends"), false;
+            if (at(Kind::end))
+                return fault_at(open, "the '[' of '" + std::string(field.name) + "' is never closed",
+                                "write ']' where it ends"),
+                       false;
             Field item;
             item.line = next().line;
             item.column = next().column;
@@ -193,7 +218,9 @@
                 if (is(']')) return fault("a value should follow ','", "remove the last ','"), false;
             } else if (!is(']')) {
                 if (at(Kind::end)) continue;
-                return fault("',' or ']' should stand here, not " + shown(next()), "write ',' between the values of a list"), false;
+                return fault("',' or ']' should stand here, not " + shown(next()),
+                             "write ',' between the values of a list"),
+                       false;
             }
             field.children.push_back(std::move(item));
         }
@@ -226,7 +253,7 @@
     void comments(const std::vector<std::string_view>& lines, int depth, bool blank) {
         if (blank && !lines.empty()) out_ += '\n';
         for (const auto line : lines) {
-            pad(depth);
+            if (!line.empty()) pad(depth);
             (out_ += line) += '\n';
         }
     }
@@ -291,7 +318,8 @@
             simple = simple && item.kind == Field::Kind::scalar && item.before.empty() && item.behind.empty();
             if (simple) line += (line.empty() ? "" : ", ") + scalar(item);
         }
-        if (simple && static_cast<std::size_t>(depth) * 2 + field.name.size() + line.size() + 4 <= most_line) {
+        if (simple &&
+            static_cast<std::size_t>(depth) * 2 + field.name.size() + line.size() + 4 <= most_line) {
             out_ += '[' + line + ']';
             return;
         }
--- a/src/lang/tree.hpp
+++ b/src/lang/tree.hpp
@@ -1,5 +1,5 @@
-// A file as a tree of fields, with the place and the comments of each: what the checker binds to the schema and
-// what the formatter prints.
+// A file as a tree of fields, with the place and the comments of each: what the checker binds to the schema
+// and what the formatter prints.
 #pragma once
 
 #include <deque>
@@ -16,8 +16,8 @@
     std::string_view name;  // empty within a list
     int line = 0, column = 0;
     int value_line = 0, value_column = 0;
-    bool blank_before = false;  // a blank line stands before it or its comments
-    std::vector<std::string_view> before;  // comments on lines of their own
+    bool blank_before = false;             // a blank line stands before it or its comments
+    std::vector<std::string_view> before;  // comments on lines of their own; an empty one is a blank line
     std::vector<std::string_view> behind;  // comments on its last line
     std::vector<Token> value;              // of a scalar: texts that belong together, or a sign and a word
     std::vector<Field> children;           // of a block; the entries of a list
@@ -35,7 +35,8 @@
 
 constexpr int most_depth = 32;
 
-// The source must outlive the tree. After a fault the reading goes on where a line begins with a field's name.
+// The source must outlive the tree. After a fault the reading goes on where a line begins with a field's
+// name.
 Tree read_tree(const std::string& file, std::string_view source, Findings& findings);
 
 // The one layout that a tree has.
--- a/src/lang/units.cpp
+++ b/src/lang/units.cpp
@@ -14,9 +14,10 @@
     std::int64_t worth;
 };
 // The largest first, as writing tries them in that order.
-constexpr Suffix durations[] = {{"h", 3'600'000'000}, {"m", 60'000'000}, {"s", 1'000'000}, {"ms", 1000}, {"us", 1}};
-constexpr Suffix sizes[] = {{"TiB", 1LL << 40}, {"GiB", 1LL << 30}, {"MiB", 1LL << 20}, {"KiB", 1LL << 10},
-                            {"GB", 1'000'000'000}, {"MB", 1'000'000}, {"kB", 1000},     {"B", 1}};
+constexpr Suffix durations[] = {
+    {"h", 3'600'000'000}, {"m", 60'000'000}, {"s", 1'000'000}, {"ms", 1000}, {"us", 1}};
+constexpr Suffix sizes[] = {{"TiB", 1LL << 40},    {"GiB", 1LL << 30}, {"MiB", 1LL << 20}, {"KiB", 1LL << 10},
+                            {"GB", 1'000'000'000}, {"MB", 1'000'000},  {"kB", 1000},       {"B", 1}};
 constexpr Suffix rates[] = {{"/s", 3'600'000}, {"/m", 60'000}, {"/h", 1000}};
 constexpr Suffix shares[] = {{"%", 1000}};
 
@@ -77,17 +78,20 @@
         const Wide value = digits * s.worth;
         if (overflow || value / scale > std::numeric_limits<std::int64_t>::max())
             return Misread{shown + " is too large to be counted", "write a smaller value"};
-        if (fine || value % scale != 0) return Misread{shown + " is finer than can be counted", "write fewer decimals"};
+        if (fine || value % scale != 0)
+            return Misread{shown + " is finer than can be counted", "write fewer decimals"};
         return Quantity{static_cast<std::int64_t>(value / scale)};
     }
-    return Misread{"'" + std::string(suffix.substr(0, 20)) + "' in " + shown + " is no unit of " + noun(unit), fix};
+    return Misread{"'" + std::string(suffix.substr(0, 20)) + "' in " + shown + " is no unit of " + noun(unit),
+                   fix};
 }
 
 std::string write_quantity(Unit unit, Quantity quantity) {
     const auto all = suffixes(unit);
     if (quantity.value == 0) return '0' + std::string(unit == Unit::duration ? "s" : all.back().text);
     for (const auto& s : all)
-        if (quantity.value % s.worth == 0) return std::to_string(quantity.value / s.worth) + std::string(s.text);
+        if (quantity.value % s.worth == 0)
+            return std::to_string(quantity.value / s.worth) + std::string(s.text);
     // Finer than the smallest suffix: up to three decimals, which are all that such units count.
     const auto& least = all.back();
     auto decimals = std::to_string(quantity.value % least.worth + least.worth).substr(1);
--- a/src/plan/count.cpp
+++ b/src/plan/count.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double whole_token = 1 - 1e-6;
+// Room for one whole token and what comes before somebody asks for it.
+constexpr double least_rest = 2;
 // Before an end has been seen, and how much a new one weighs.
 constexpr double first_between_ms = 100, gain = 0.2, least_pause_ms = 10;
 
@@ -19,7 +21,10 @@
 }  // namespace
 
 Count::Count(const LimitRule& rule, std::size_t bookings, Time now)
-    : rule_(without_match(rule)), parts_(rule.guarantees.size() + 1), freed_at_(now), between_ms_(first_between_ms) {
+    : rule_(without_match(rule)),
+      parts_(rule.guarantees.size() + 1),
+      freed_at_(now),
+      between_ms_(first_between_ms) {
     for (std::size_t i = 0; i < rule_.guarantees.size(); ++i) parts_[i].share = rule_.guarantees[i].part;
     for (std::size_t i = 0; i < parts_.size(); ++i) parts_[i].lane = Lane(shape_of(i, bookings), now);
 }
@@ -52,7 +57,7 @@
         }
         part.share = i < rule_.guarantees.size() ? rule_.guarantees[i].part : 0;
     }
-    rest_ = std::min(rest_, std::max(0.0, rule_.burst - (tokens() - rest_)));
+    rest_ = std::min(rest_, std::max(least_rest, rule_.burst - (tokens() - rest_)));
 }
 
 double Count::tokens() const {
@@ -63,37 +68,38 @@
 
 // What all lanes together have too much, as far as the whole burst goes.
 void Count::gather(Time now) {
+    if (parts_.size() == 1) return;
     double over = 0, kept = 0;
     for (auto& part : parts_) {
         over += part.lane.refill(now);
         kept += part.lane.tokens();
     }
-    if (parts_.size() > 1) rest_ = std::clamp(rest_ + over, 0.0, std::max(0.0, rule_.burst - kept));
+    rest_ = std::clamp(rest_ + over, 0.0, std::max(least_rest, rule_.burst - kept));
 }
 
 // Room beside what others are guaranteed, of which `lend` may be used while they do not use it.
-bool Count::fits(std::uint64_t whole, std::uint64_t held, std::uint64_t more, std::size_t lane, std::uint64_t Part::*of) const {
+bool Count::fits(std::uint64_t whole, std::uint64_t held, std::uint64_t more, std::size_t lane,
+                 std::uint64_t Part::*of) const {
     if (whole == 0) return true;
     const auto all = static_cast<double>(whole);
     if (held + more > whole) return false;
     if (static_cast<double>(parts_[lane].*of + more) <= parts_[lane].share * all) return true;
     double kept = 0;
     for (std::size_t i = 0; i < parts_.size(); ++i)
-        if (i != lane) kept += std::max(0.0, parts_[i].share * all - static_cast<double>(parts_[i].*of)) * (1 - rule_.lend);
+        if (i != lane)
+            kept +=
+                std::max(0.0, parts_[i].share * all - static_cast<double>(parts_[i].*of)) * (1 - rule_.lend);
     return static_cast<double>(held + more) + kept <= all;
 }
 
 Count::Look Count::look(Time now, std::size_t lane, std::size_t bytes, std::uint64_t print) {
     Look look;
-    look.by_held = !fits(rule_.held, held_, 1, lane, &Part::held) || !fits(rule_.held_bytes, bytes_, bytes, lane, &Part::bytes);
+    look.by_held = !fits(rule_.held, held_, 1, lane, &Part::held) ||
+                   !fits(rule_.held_bytes, bytes_, bytes, lane, &Part::bytes);
     if (rule_.rate > 0) {
+        gather(now);
         look.grant = parts_[lane].lane.look(now, print);
-        if (look.grant == Lane::Grant::none && parts_.size() > 1) {
-            gather(now);
-            look.by_rate = rest_ < whole_token;
-        } else {
-            look.by_rate = look.grant == Lane::Grant::none;
-        }
+        look.by_rate = look.grant == Lane::Grant::none && rest_ < whole_token;
     }
     look.admitted = !look.by_held && !look.by_rate;
     return look;
@@ -149,7 +155,8 @@
 }
 
 bool Count::rests(Time now) const {
-    return held_ == 0 && std::all_of(parts_.begin(), parts_.end(), [&](const Part& p) { return rule_.rate <= 0 || p.lane.rests(now); });
+    return held_ == 0 && std::all_of(parts_.begin(), parts_.end(),
+                                     [&](const Part& p) { return rule_.rate <= 0 || p.lane.rests(now); });
 }
 
 }  // namespace brasslift::plan
--- a/src/plan/count.hpp
+++ b/src/plan/count.hpp
@@ -15,8 +15,8 @@
 class Count {
 public:
     Count(const LimitRule& rule, std::size_t bookings, Time now);
-    // Tokens stay as they are, held ones stay counted, turns of lanes that remain are kept. `lane_of` gives the
-    // place that each new lane had before, none for a new one.
+    // Tokens stay as they are, held ones stay counted, turns of lanes that remain are kept. `lane_of` gives
+    // the place that each new lane had before, none for a new one.
     void reshape(const LimitRule& rule, std::size_t bookings, Time now, const std::vector<int>& lane_of);
 
     struct Look {
@@ -50,7 +50,8 @@
     };
     Lane::Shape shape_of(std::size_t lane, std::size_t bookings) const;
     void gather(Time now);
-    bool fits(std::uint64_t whole, std::uint64_t held, std::uint64_t more, std::size_t lane, std::uint64_t Part::*of) const;
+    bool fits(std::uint64_t whole, std::uint64_t held, std::uint64_t more, std::size_t lane,
+              std::uint64_t Part::*of) const;
 
     LimitRule rule_;  // without its match
     std::vector<Part> parts_;
--- a/src/plan/gate.cpp
+++ b/src/plan/gate.cpp
@@ -51,10 +51,13 @@
     if (const auto found = counts_[place].find(key); found != counts_[place].end()) return &found->second;
     if (!make_room(now)) return nullptr;
     ++total_;
-    return &counts_[place].try_emplace(key, plan_->rules().limits[place], plan_->rules().bounds.bookings, now).first->second;
+    return &counts_[place]
+                .try_emplace(key, plan_->rules().limits[place], plan_->rules().bounds.bookings, now)
+                .first->second;
 }
 
-Gate::Admission Gate::admit(Time now, MessageId id, const Subject& subject, std::size_t bytes, std::uint64_t print, bool again) {
+Gate::Admission Gate::admit(Time now, MessageId id, const Subject& subject, std::size_t bytes,
+                            std::uint64_t print, bool again) {
     const auto& rules = plan_->rules();
     const int route = plan_->route(subject);
     Admission admission;
@@ -67,7 +70,8 @@
     looks_.clear();
     for (const int limit : found_) {
         const auto& rule = rules.limits[static_cast<std::size_t>(limit)];
-        const Charge charge{limit, plan_->key(limit, subject, route), static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
+        const Charge charge{limit, plan_->key(limit, subject, route),
+                            static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
         auto* const count = count_of(now, limit, charge.key);
         if (count == nullptr) return {false, no_count_pause_ms, 0, &rule.name};
         const auto look = count->look(now, charge.lane, bytes, print);
@@ -84,7 +88,8 @@
         if (admission.admitted)
             count.take(looks_[i], charge.lane, bytes, print);
         else if (!looks_[i].admitted)
-            admission.pause_ms = std::max(admission.pause_ms, count.refuse(looks_[i], now, charge.lane, print, again));
+            admission.pause_ms =
+                std::max(admission.pause_ms, count.refuse(looks_[i], now, charge.lane, print, again));
     }
     if (!admission.admitted) return admission;
     if (!charges_.empty()) charged_.insert_or_assign(id, Charged{charges_, bytes});
@@ -92,14 +97,16 @@
     plan_->policies(subject, route, found_);
     for (const int policy : found_)
         if (const auto& deadline = rules.policies[static_cast<std::size_t>(policy)].deadline_ms)
-            admission.deadline_ms = admission.deadline_ms > 0 ? std::min(admission.deadline_ms, *deadline) : *deadline;
+            admission.deadline_ms =
+                admission.deadline_ms > 0 ? std::min(admission.deadline_ms, *deadline) : *deadline;
     return admission;
 }
 
 void Gate::undo(MessageId id) {
     const auto found = charged_.find(id);
     if (found == charged_.end()) return;
-    for (const auto& c : found->second.charges) counts_[static_cast<std::size_t>(c.limit)].at(c.key).undo(c.lane, found->second.bytes);
+    for (const auto& c : found->second.charges)
+        counts_[static_cast<std::size_t>(c.limit)].at(c.key).undo(c.lane, found->second.bytes);
     charged_.erase(found);
 }
 
@@ -118,10 +125,12 @@
     Charged charged;
     charged.bytes = bytes;
     for (const int limit : found_) {
-        const Charge charge{limit, plan_->key(limit, subject, route), static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
+        const Charge charge{limit, plan_->key(limit, subject, route),
+                            static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
         const auto place = static_cast<std::size_t>(limit);
         // What is owed is counted past the bound on counts: it was taken on.
-        auto [at, fresh] = counts_[place].try_emplace(charge.key, plan_->rules().limits[place], plan_->rules().bounds.bookings, Time{0});
+        auto [at, fresh] = counts_[place].try_emplace(charge.key, plan_->rules().limits[place],
+                                                      plan_->rules().bounds.bookings, Time{0});
         total_ += fresh ? 1 : 0;
         at->second.hold(charge.lane, bytes);
         charged.charges.push_back(charge);
@@ -132,7 +141,8 @@
 Gate::Path Gate::path(const Subject& subject) const {
     const int route = plan_->route(subject);
     Path path;
-    if (route != none) path.pool = static_cast<std::size_t>(plan_->rules().routes[static_cast<std::size_t>(route)].pool + 1);
+    if (route != none)
+        path.pool = static_cast<std::size_t>(plan_->rules().routes[static_cast<std::size_t>(route)].pool + 1);
     found_.clear();
     plan_->policies(subject, route, found_);
     for (const int policy : found_)
@@ -162,10 +172,13 @@
 double Gate::retry(Time now, const Subject& subject) {
     found_.clear();
     plan_->policies(subject, plan_->route(subject), found_);
-    std::erase_if(found_, [&](int policy) { return !plan_->rules().policies[static_cast<std::size_t>(policy)].budget; });
+    std::erase_if(found_, [&](int policy) {
+        return !plan_->rules().policies[static_cast<std::size_t>(policy)].budget;
+    });
     double pause = 0;
     for (const int policy : found_) {
-        const double left = refilled(now, policy).left, least = plan_->rules().policies[static_cast<std::size_t>(policy)].budget->least;
+        const double left = refilled(now, policy).left,
+                     least = plan_->rules().policies[static_cast<std::size_t>(policy)].budget->least;
         if (left < 1) pause = std::max({pause, 1.0, (1 - left) / least * 1000});
     }
     if (pause > 0) return pause;
@@ -196,9 +209,11 @@
         if (old.by != limit.by) continue;  // counted by something else: another limit
         std::vector<int> lane_of;
         for (const auto& g : limit.guarantees) {
-            const auto same = std::find_if(old.guarantees.begin(), old.guarantees.end(),
-                                           [&](const Guarantee& o) { return o.of == g.of && o.name == g.name; });
-            lane_of.push_back(same == old.guarantees.end() ? none : static_cast<int>(same - old.guarantees.begin()));
+            const auto same =
+                std::find_if(old.guarantees.begin(), old.guarantees.end(),
+                             [&](const Guarantee& o) { return o.of == g.of && o.name == g.name; });
+            lane_of.push_back(same == old.guarantees.end() ? none
+                                                           : static_cast<int>(same - old.guarantees.begin()));
         }
         lane_of.push_back(static_cast<int>(old.guarantees.size()));
         const bool by_route = std::find(limit.by.begin(), limit.by.end(), Dimension::route) != limit.by.end();
@@ -206,7 +221,9 @@
             auto own = key;
             if (by_route) {
                 const int route = static_cast<int>(key >> 48) - 1;
-                const int now_at = route == none ? none : new_route(before->rules().routes[static_cast<std::size_t>(route)].name);
+                const int now_at =
+                    route == none ? none
+                                  : new_route(before->rules().routes[static_cast<std::size_t>(route)].name);
                 if (route != none && now_at == none) continue;  // the route is no more
                 own = (key & 0xffff'ffff'ffffU) | static_cast<std::uint64_t>(now_at + 1) << 48;
             }
@@ -220,7 +237,8 @@
         const int was = old_policy(policy.name);
         const bool kept = was != none && before->rules().policies[static_cast<std::size_t>(was)].budget;
         const double saved = policy.budget ? policy.budget->saved : 0;
-        budgets_.push_back(kept ? Budget{std::min(saved, budgets[static_cast<std::size_t>(was)].left), budgets[static_cast<std::size_t>(was)].at}
+        budgets_.push_back(kept ? Budget{std::min(saved, budgets[static_cast<std::size_t>(was)].left),
+                                         budgets[static_cast<std::size_t>(was)].at}
                                 : Budget{saved, now});
     }
     for (const auto& m : held) restore(m.id, m.subject, m.bytes);
--- a/src/plan/gate.hpp
+++ b/src/plan/gate.hpp
@@ -1,5 +1,6 @@
-// What a plan lets through: the state of its limits and retry budgets, apart from the plan, so that it outlives
-// a reload. Pure: the time is told. It narrows what the decision module is offered and decides nothing else.
+// What a plan lets through: the state of its limits and retry budgets, apart from the plan, so that it
+// outlives a reload. Pure: the time is told. It narrows what the decision module is offered and decides
+// nothing else.
 #pragma once
 
 #include <map>
@@ -19,13 +20,14 @@
 
     struct Admission {
         bool admitted = true;
-        double pause_ms = 0;  // where it is not: after which to come again
-        double deadline_ms = 0;  // the policies' narrowest, from now; 0: none
+        double pause_ms = 0;              // where it is not: after which to come again
+        double deadline_ms = 0;           // the policies' narrowest, from now; 0: none
         const std::string* by = nullptr;  // the route or limit that refuses
     };
-    // A message that is handed in. `print` tells one client's message from another's; `again`: its client says
-    // that it was refused before. Where it is admitted it is counted under `id` until release or undo.
-    Admission admit(Time now, MessageId id, const Subject& subject, std::size_t bytes, std::uint64_t print, bool again);
+    // A message that is handed in. `print` tells one client's message from another's; `again`: its client
+    // says that it was refused before. Where it is admitted it is counted under `id` until release or undo.
+    Admission admit(Time now, MessageId id, const Subject& subject, std::size_t bytes, std::uint64_t print,
+                    bool again);
     void undo(MessageId id);
     void release(Time now, MessageId id);
     // A message that was taken on by an earlier life: counted, room or none.
@@ -36,8 +38,8 @@
         int attempts = 0;      // at most; 0: no limit
     };
     Path path(const Subject& subject) const;
-    // A first attempt earns its budgets' parts; one more is permitted only if all have a whole retry left. The
-    // pause that is due where it is not, 0 where it is.
+    // A first attempt earns its budgets' parts; one more is permitted only if all have a whole retry left.
+    // The pause that is due where it is not, 0 where it is.
     void first_attempt(Time now, const Subject& subject);
     double retry(Time now, const Subject& subject);
 
@@ -46,8 +48,8 @@
         Subject subject;
         std::size_t bytes = 0;
     };
-    // Another plan from now on. Counts of limits that stay are kept: tokens and turns as they are; what is held
-    // is counted anew under the new limits.
+    // Another plan from now on. Counts of limits that stay are kept: tokens and turns as they are; what is
+    // held is counted anew under the new limits.
     void change(std::shared_ptr<const Plan> plan, Time now, const std::vector<Held>& held);
 
     const Plan& plan() const { return *plan_; }
@@ -76,7 +78,7 @@
     Budget& refilled(Time now, int policy);
 
     std::shared_ptr<const Plan> plan_;
-    std::vector<Counts> counts_;    // by limit
+    std::vector<Counts> counts_;   // by limit
     std::vector<Budget> budgets_;  // by policy
     std::unordered_map<MessageId, Charged> charged_;
     std::size_t total_ = 0;
--- a/src/plan/index.cpp
+++ b/src/plan/index.cpp
@@ -51,7 +51,8 @@
 }
 
 std::uint64_t pack(int bits, std::uint32_t from, std::uint32_t tenant, std::uint32_t message_class) {
-    return (std::uint64_t(bits) << 50) | (std::uint64_t{from} << 34) | (std::uint64_t{tenant} << 17) | message_class;
+    return (std::uint64_t(bits) << 50) | (std::uint64_t{from} << 34) | (std::uint64_t{tenant} << 17) |
+           message_class;
 }
 
 std::uint64_t mixed(std::uint64_t key) {
@@ -67,11 +68,13 @@
     std::map<std::string, std::uint32_t> tenants;
     for (std::uint32_t i = 0; i < names.tenants.size(); ++i) tenants.emplace(names.tenants[i], i + 1);
     const auto tenants_of = [&](const std::vector<Pattern>& patterns) {
-        if (std::any_of(patterns.begin(), patterns.end(), [](const Pattern& p) { return p.prefix; }) || patterns.empty())
+        if (std::any_of(patterns.begin(), patterns.end(), [](const Pattern& p) { return p.prefix; }) ||
+            patterns.empty())
             return choices(patterns, names.tenants);
         std::map<std::uint32_t, Choice> found;
         for (const auto& p : patterns)
-            if (const auto it = tenants.find(p.text); it != tenants.end()) found[it->second] = {it->second, exactness_of(p)};
+            if (const auto it = tenants.find(p.text); it != tenants.end())
+                found[it->second] = {it->second, exactness_of(p)};
         std::vector<Choice> list;
         for (const auto& [id, choice] : found) list.push_back(choice);
         return list;
@@ -90,19 +93,22 @@
         for (const auto& block : blocks)
             for (const auto& tenant : tenant_choices)
                 for (const auto& cls : class_choices)
-                    entries_.push_back({pack(block.bits, block.from, tenant.id_plus_one, cls.id_plus_one),
-                                        priority << 34 | block.exactness << 14 | tenant.exactness << 7 | cls.exactness, r});
+                    entries_.push_back(
+                        {pack(block.bits, block.from, tenant.id_plus_one, cls.id_plus_one),
+                         priority << 34 | block.exactness << 14 | tenant.exactness << 7 | cls.exactness, r});
     }
     std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) {
         return std::tuple(a.key, b.order, a.rule) < std::tuple(b.key, a.order, b.rule);
     });
     // A rule that says a cell twice has it as it said it more exactly.
-    entries_.erase(std::unique(entries_.begin(), entries_.end(),
-                               [](const Entry& a, const Entry& b) { return a.key == b.key && a.rule == b.rule; }),
-                   entries_.end());
+    entries_.erase(
+        std::unique(entries_.begin(), entries_.end(),
+                    [](const Entry& a, const Entry& b) { return a.key == b.key && a.rule == b.rule; }),
+        entries_.end());
     entries_.shrink_to_fit();
     std::size_t keys = 0;
-    for (std::size_t i = 0; i < entries_.size(); ++i) keys += i == 0 || entries_[i].key != entries_[i - 1].key ? 1 : 0;
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        keys += i == 0 || entries_[i].key != entries_[i - 1].key ? 1 : 0;
     slots_.resize(std::bit_ceil(std::max<std::size_t>(2, keys * 2)));
     for (std::uint32_t i = 0; i < entries_.size();) {
         const auto key = entries_[i].key;
@@ -120,7 +126,8 @@
 
 std::uint64_t Index::key_of(const Shape& shape, const Subject& s) {
     const std::uint32_t mask = shape.bits == 0 ? 0 : 0xffffU & (0xffffU << (destination_bits - shape.bits));
-    return pack(shape.bits, s.destination & mask, shape.tenant ? s.tenant + 1U : 0, shape.message_class ? s.message_class + 1U : 0);
+    return pack(shape.bits, s.destination & mask, shape.tenant ? s.tenant + 1U : 0,
+                shape.message_class ? s.message_class + 1U : 0);
 }
 
 const Index::Slot* Index::find(std::uint64_t key) const {
@@ -135,7 +142,8 @@
     for (const auto& shape : shapes_)
         if (const auto* const slot = find(key_of(shape, subject)); slot != nullptr) {
             const auto& entry = entries_[slot->first];
-            if (found == nullptr || std::pair(entry.order, found->rule) > std::pair(found->order, entry.rule)) found = &entry;
+            if (found == nullptr || std::pair(entry.order, found->rule) > std::pair(found->order, entry.rule))
+                found = &entry;
         }
     return found == nullptr ? none : static_cast<int>(found->rule);
 }
@@ -144,7 +152,8 @@
     const auto from = static_cast<std::ptrdiff_t>(into.size());
     for (const auto& shape : shapes_)
         if (const auto* const slot = find(key_of(shape, subject)); slot != nullptr)
-            for (std::uint32_t i = 0; i < slot->count; ++i) into.push_back(static_cast<int>(entries_[slot->first + i].rule));
+            for (std::uint32_t i = 0; i < slot->count; ++i)
+                into.push_back(static_cast<int>(entries_[slot->first + i].rule));
     std::sort(into.begin() + from, into.end());
     into.erase(std::unique(into.begin() + from, into.end()), into.end());
 }
@@ -160,16 +169,20 @@
         auto& own = standing[entry.rule];
         own.seen = true;
         const int bits = static_cast<int>(entry.key >> 50);
-        const auto tenant = static_cast<std::uint32_t>(entry.key >> 17 & 0x1ffff), cls = static_cast<std::uint32_t>(entry.key & 0x1ffff);
+        const auto tenant = static_cast<std::uint32_t>(entry.key >> 17 & 0x1ffff),
+                   cls = static_cast<std::uint32_t>(entry.key & 0x1ffff);
         const auto from = static_cast<std::uint16_t>(entry.key >> 34 & 0xffff);
         int over = none;
         // Whatever covers the whole cell has a key of a shape that is as open or more so.
         for (const auto& shape : shapes_) {
-            if (shape.bits > bits || (shape.tenant && tenant == 0) || (shape.message_class && cls == 0)) continue;
-            const Subject corner{static_cast<std::uint16_t>(cls == 0 ? 0 : cls - 1), static_cast<std::uint16_t>(tenant == 0 ? 0 : tenant - 1), from};
+            if (shape.bits > bits || (shape.tenant && tenant == 0) || (shape.message_class && cls == 0))
+                continue;
+            const Subject corner{static_cast<std::uint16_t>(cls == 0 ? 0 : cls - 1),
+                                 static_cast<std::uint16_t>(tenant == 0 ? 0 : tenant - 1), from};
             const auto* const slot = find(key_of(shape, corner));
             if (slot == nullptr) continue;
-            for (std::uint32_t i = slot->first; i < slot->first + slot->count && entries_[i].order >= entry.order; ++i) {
+            for (std::uint32_t i = slot->first;
+                 i < slot->first + slot->count && entries_[i].order >= entry.order; ++i) {
                 if (entries_[i].rule == entry.rule) continue;
                 if (entries_[i].order > entry.order) {
                     over = static_cast<int>(entries_[i].rule);
@@ -177,7 +190,8 @@
                 }
                 const auto [low, high] = std::minmax(entries_[i].rule, entry.rule);
                 constexpr std::size_t most_pairs = 100'000;
-                if (ambiguous.size() < most_pairs) ambiguous.push_back({static_cast<int>(high), static_cast<int>(low)});
+                if (ambiguous.size() < most_pairs)
+                    ambiguous.push_back({static_cast<int>(high), static_cast<int>(low)});
             }
             if (over != none) break;
         }
@@ -186,18 +200,23 @@
     }
     Analysis found;
     for (std::size_t r = 0; r < rules_; ++r)
-        if (standing[r].seen && !standing[r].open) found.hidden.push_back({static_cast<int>(r), standing[r].other});
-    const auto order = [](const Overlap& a, const Overlap& b) { return std::pair(a.rule, a.other) < std::pair(b.rule, b.other); };
+        if (standing[r].seen && !standing[r].open)
+            found.hidden.push_back({static_cast<int>(r), standing[r].other});
+    const auto order = [](const Overlap& a, const Overlap& b) {
+        return std::pair(a.rule, a.other) < std::pair(b.rule, b.other);
+    };
     std::sort(ambiguous.begin(), ambiguous.end(), order);
     // One message a rule: whoever reads of one clash looks for the others himself.
-    ambiguous.erase(std::unique(ambiguous.begin(), ambiguous.end(), [](const Overlap& a, const Overlap& b) { return a.rule == b.rule; }),
+    ambiguous.erase(std::unique(ambiguous.begin(), ambiguous.end(),
+                                [](const Overlap& a, const Overlap& b) { return a.rule == b.rule; }),
                     ambiguous.end());
     found.ambiguous = std::move(ambiguous);
     return found;
 }
 
 std::size_t Index::bytes() const {
-    return entries_.capacity() * sizeof(Entry) + slots_.capacity() * sizeof(Slot) + shapes_.capacity() * sizeof(Shape);
+    return entries_.capacity() * sizeof(Entry) + slots_.capacity() * sizeof(Slot) +
+           shapes_.capacity() * sizeof(Shape);
 }
 
 }  // namespace brasslift::plan
--- a/src/plan/index.hpp
+++ b/src/plan/index.hpp
@@ -1,6 +1,6 @@
 // Finds the rules that match a message at a cost that does not grow with their number (tuple space search):
-// every rule becomes cells of destination prefix, tenant and class, any of them open; a look-up asks the table
-// once for each shape that some cell has, and there are at most 68 shapes.
+// every rule becomes cells of destination prefix, tenant and class, any of them open; a look-up asks the
+// table once for each shape that some cell has, and there are at most 68 shapes.
 #pragma once
 
 #include <array>
--- a/src/plan/lane.cpp
+++ b/src/plan/lane.cpp
@@ -67,7 +67,8 @@
 
 Lane::Grant Lane::look(Time now, std::uint64_t print) {
     refill(now);
-    if (const auto* const turn = earliest(print); turn != nullptr && turn->due <= now + early_ms && tokens_ + early_ms * shape_.rate >= whole)
+    if (const auto* const turn = earliest(print);
+        turn != nullptr && turn->due <= now + early_ms && tokens_ + early_ms * shape_.rate >= whole)
         return Grant::turn;
     return tokens_ >= whole + static_cast<double>(live_) ? Grant::token : Grant::none;
 }
@@ -87,7 +88,8 @@
     auto* const own = earliest(print);
     if (own != nullptr && own->due <= now) {
         // Its turn is there and the token is not: the rate has become lower since.
-        return shape_.rate <= 0 ? shape_.horizon_ms : std::clamp((1 - tokens_) / shape_.rate, 1.0, shape_.horizon_ms);
+        return shape_.rate <= 0 ? shape_.horizon_ms
+                                : std::clamp((1 - tokens_) / shape_.rate, 1.0, shape_.horizon_ms);
     }
     if (own != nullptr && again) return own->due - now;
     if (shape_.rate <= 0) return shape_.horizon_ms;
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -72,7 +72,9 @@
 std::size_t Plan::lane(int limit, const Subject& s, int route) const {
     const auto& owners = owners_[static_cast<std::size_t>(limit)];
     for (std::size_t i = 0; i < owners.size(); ++i) {
-        const int own = owners[i].of == Dimension::tenant ? s.tenant : owners[i].of == Dimension::message_class ? s.message_class : route;
+        const int own = owners[i].of == Dimension::tenant          ? s.tenant
+                        : owners[i].of == Dimension::message_class ? s.message_class
+                                                                   : route;
         if (owners[i].place != none && owners[i].place == own) return i;
     }
     return owners.size();
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -25,7 +25,9 @@
 // Numbers and whole names before ranges, narrower ranges first, before beginnings of names, longer first.
 constexpr std::uint32_t exact_number = 1U << 19;
 constexpr std::uint32_t exactness_of_range(std::uint32_t width) { return (1U << 18) | (65536U - width); }
-constexpr std::uint32_t exactness_of_prefix(std::size_t length) { return static_cast<std::uint32_t>(1 + length); }
+constexpr std::uint32_t exactness_of_prefix(std::size_t length) {
+    return static_cast<std::uint32_t>(1 + length);
+}
 
 // An empty list matches everything.
 struct Match {
@@ -61,9 +63,9 @@
 struct LimitRule {
     std::string name;
     Match match;
-    int route = none;  // only messages of that route
+    int route = none;           // only messages of that route
     std::vector<Dimension> by;  // sorted, each once
-    double rate = 0;  // 0: not limited
+    double rate = 0;            // 0: not limited
     double burst = 0;
     std::uint64_t held = 0, held_bytes = 0;  // 0: not limited
     std::vector<Guarantee> guarantees;
