Show the operators' file on sockets: limits, turns, pools, policies, reloads

Nothing played the plan against the real program. The scenario language has an operators' file and owners; a program that ends before it listens is told at once instead of after 10 s.

--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -125,6 +125,10 @@
             if (size >= limit) throw Fault("the folder holds " + std::to_string(size));
             return;
         }
+        if (who == "operator") {
+            std::getline(in >> std::ws, what);
+            return write_operators(unescape(what));
+        }
         if (who == "reload") {
             in >> what;
             write_config(what == "bad" ? "" : listener(what[0]).address());
@@ -145,6 +149,15 @@
         act(who, what, rest);
     }
 
+    void write_operators(const std::string& text) {
+        operators_ = true;
+        std::ofstream(folder_ + "/operator.textproto") << text;
+    }
+    void reread() const { signal_child(SIGHUP); }
+    void begin() { start(0, 0); }
+    std::uint16_t port() const { return port_; }
+    int host_listener() const { return host1_.fd.get(); }
+
 private:
     void act(const std::string& who, const std::string& what, const std::string& rest) {
         if (what == "send") {
@@ -182,11 +195,12 @@
 
     void post(Peer& p, const std::string& rest) {
         std::istringstream in(rest);
-        std::string cls, id, deadline, dest, body = "hello";
+        std::string cls, id, deadline, dest, owner = "acme", body = "hello";
         int size = 0;
         if (in >> cls >> id >> deadline >> dest >> size) body.assign(static_cast<std::size_t>(size), 'x');
-        send(p, "POST /" + cls + " HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id +
-                    "\r\nReq-Owner: acme\r\nReq-Deadline: " + deadline + "\r\nIdempotency-Key: key-" + id +
+        if (std::string given; in >> given) owner = given;
+        send(p, "POST /" + cls + " HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id + "\r\nReq-Owner: " + owner +
+                    "\r\nReq-Deadline: " + deadline + "\r\nIdempotency-Key: key-" + id +
                     "\r\nX-Addressing: dest=" + dest + "\r\nContent-Length: " + std::to_string(body.size()) +
                     "\r\n\r\n" + body);
     }
@@ -300,7 +314,9 @@
                "],\"how\":\"off\"},"
             << "\"request_classes\":[" << cls("safe", "pure") << ',' << cls("keyed", "token") << ','
             << cls("payment", "side_effect")
-            << "],\"customers\":[{\"name\":\"acme\",\"allowance_per_s\":1000.0,\"share\":1.0}]}}";
+            << "],\"customers\":[{\"name\":\"acme\",\"allowance_per_s\":1000.0,\"share\":0.4},"
+               "{\"name\":\"bolt\",\"allowance_per_s\":1000.0,\"share\":0.3},"
+               "{\"name\":\"coop\",\"allowance_per_s\":1000.0,\"share\":0.3}]}}";
     }
 
     void start(rlim_t file_limit, rlim_t files) {
@@ -321,6 +337,9 @@
                 const rlimit limit{files, files};
                 ::setrlimit(RLIMIT_NOFILE, &limit);
             }
+            if (operators_)
+                ::execl(BRASSLIFT_PROGRAM, BRASSLIFT_PROGRAM, "serve", "--operator",
+                        (folder_ + "/operator.textproto").c_str(), nullptr);
             ::execl(BRASSLIFT_PROGRAM, BRASSLIFT_PROGRAM, nullptr);
             ::_exit(127);
         }
@@ -329,6 +348,10 @@
              std::this_thread::sleep_for(std::chrono::milliseconds(10))) {
             Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
             if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return;
+            if (::waitpid(child_, nullptr, WNOHANG) == child_) {
+                child_ = 0;
+                throw Fault("the program ended before it listened");
+            }
         }
         throw Fault("the program does not listen");
     }
@@ -348,6 +371,7 @@
     std::map<char, int> counts_;
     std::map<char, Peer*> matched_;  // the connection that the latest expect of a letter was met on
     pid_t child_ = 0;
+    bool operators_ = false;
 };
 
 }  // namespace
@@ -369,4 +393,17 @@
     return "";
 }
 
+Flood play_flood(const std::string& operators, const std::vector<Tenant>& tenants, int reloads) {
+    constexpr double apart_ms = 500;
+    Stage stage;
+    stage.write_operators(operators);
+    stage.begin();
+    int done = 0;
+    return flood(stage.port(), stage.host_listener(), tenants, [&](double now) {
+        if (done >= reloads || now < (done + 1) * apart_ms) return;
+        ++done;
+        stage.reread();
+    });
+}
+
 }  // namespace brasslift::test
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -2,6 +2,7 @@
 //
 // clang-format off
 //   start [LIMIT [FILES]]       starts brasslift (files of LIMIT bytes, FILES open at once)
+//   operator TEXT               the operators' file from the next start or reload on (\\n as in C)
 //   kill | term | exits CODE
 //   tear                        leaves half a record at the journal's end
 //   folder-below BYTES
@@ -11,7 +12,7 @@
 //   PEER expect TEXT            it comes within 2 s; what came before it is dropped
 //   PEER absent TEXT MS         it does not come for so long
 //   PEER close | half-close | closed
-//   PEER post CLASS ID DEADLINE DEST [SIZE]    a client's request
+//   PEER post CLASS ID DEADLINE DEST [SIZE [OWNER]]    a client's request; OWNER: acme, bolt or coop
 //   PEER answer STATUS [HEADER: VALUE]         an empty HTTP answer
 //
 // Peers: c... are clients; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
@@ -21,10 +22,17 @@
 #pragma once
 
 #include <string>
+#include <vector>
+
+#include "flood.hpp"
 
 namespace brasslift::test {
 
 // Plays the script; the empty text if all went as it says, else the line that did not and what was seen.
 std::string play(const std::string& script);
 
+// The same program under a load, with an operators' file that is read again `reloads` times meanwhile, half
+// of a second apart.
+Flood play_flood(const std::string& operators, const std::vector<Tenant>& tenants, int reloads);
+
 }  // namespace brasslift::test
