--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks; CMake does the work.
-.PHONY: build test lint format run clean
+.PHONY: build test lint format config-docs bench run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -14,8 +14,16 @@
 format:
 	clang-format -i $$(git ls-files '*.cpp' '*.hpp')
 
+config-docs: build
+	cmake --build build --target schema_doc
+	cmake -DTOOL=build/schema_doc -DSCHEMA=build/proto/schema.desc -DDOC=docs/config-language.md -DWRITE=ON -P tests/schema_doc.cmake
+
+bench:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBRASSLIFT_BENCH=ON
+	cmake --build build-bench -j4
+
 run: build
 	exec build/brasslift serve
 
 clean:
-	rm -rf build build-test
+	rm -rf build build-test build-bench
--- a/src/commands/platform.cpp
+++ b/src/commands/platform.cpp
@@ -1,5 +1,7 @@
 #include "commands/platform.hpp"
 
+#include <malloc.h>
+
 #include "runtime/log.hpp"
 
 namespace brasslift::commands {
@@ -15,8 +17,9 @@
     return platform;
 }
 
-std::shared_ptr<const plan::Plan> load_plan(const std::string& path, const config::Config& config) {
-    if (path.empty()) return nullptr;
+namespace {
+
+plan::Rules checked_rules(const std::string& path, const config::Config& config) {
     const auto platform = platform_of(config);
     lang::Findings findings;
     lang::Document document;
@@ -28,7 +31,19 @@
         if (first.empty() && finding.severity == lang::Severity::error) first = lang::to_text(finding);
     }
     if (findings.any_errors()) throw config::BadConfig(first);
-    return std::make_shared<const plan::Plan>(std::move(rules), plan::Names{config.classes, config.tenants});
+    return rules;
+}
+
+}  // namespace
+
+std::shared_ptr<const plan::Plan> load_plan(const std::string& path, const config::Config& config) {
+    if (path.empty()) return nullptr;
+    auto rules = checked_rules(path, config);
+    auto plan =
+        std::make_shared<const plan::Plan>(std::move(rules), plan::Names{config.classes, config.tenants});
+    // The document and its places were many times the plan's size; the memory they leave goes back.
+    ::malloc_trim(0);
+    return plan;
 }
 
 }  // namespace brasslift::commands
--- a/src/lang/bind.cpp
+++ b/src/lang/bind.cpp
@@ -14,30 +14,58 @@
 namespace pb = google::protobuf;
 using config::v1::Rule;
 
-void Places::put(const pb::Message& message, const std::string& file, const Field& field) {
-    known_[&message].at = {file, field.line, field.column};
+void Places::put(const pb::Message& message, int line, int column) {
+    known_[&message].at = {static_cast<std::uint32_t>(files_.size() - 1), line, column};
+}
+
+void Places::put(const pb::Message& message, const pb::FieldDescriptor& field, int line, int column) {
+    known_[&message].fields.push_back(
+        {field.number(), {static_cast<std::uint32_t>(files_.size() - 1), line, column}});
+}
+
+void Places::put_meant(const pb::Message& message, const pb::FieldDescriptor& field) {
+    known_[&message].meant.push_back(field.number());
+}
+
+Place Places::place(const Spot& spot) const {
+    return spot.line == 0 ? Place{} : Place{files_[spot.file], spot.line, spot.column};
 }
 
 Place Places::of(const pb::Message& message) const {
     const auto found = known_.find(&message);
-    return found == known_.end() ? Place{} : found->second.at;
+    return found == known_.end() ? Place{} : place(found->second.at);
 }
 
-Place Places::of(const pb::Message& message, std::string_view field, int index) const {
+Place Places::of(const pb::Message& message, const std::string& name, int index) const {
+    const auto& field = *message.GetDescriptor()->FindFieldByName(name);
     const auto found = known_.find(&message);
     if (found == known_.end()) return {};
-    const auto values = found->second.fields.find(std::string(field));
-    if (values == found->second.fields.end() || index >= static_cast<int>(values->second.size()))
-        return found->second.at;
-    return values->second[static_cast<std::size_t>(index)];
+    if (field.is_repeated() && field.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE) {
+        const auto* const reflection = message.GetReflection();
+        if (index < reflection->FieldSize(message, &field))
+            return of(reflection->GetRepeatedMessage(message, &field, index));
+        return place(found->second.at);
+    }
+    for (const auto& [number, spot] : found->second.fields)
+        if (number == field.number() && index-- == 0) return place(spot);
+    return place(found->second.at);
+}
+
+bool Places::written(const pb::Message& message, const pb::FieldDescriptor& field) const {
+    const auto found = known_.find(&message);
+    if (found == known_.end()) return false;
+    const auto& fields = found->second.fields;
+    return std::any_of(fields.begin(), fields.end(),
+                       [&](const auto& f) { return f.first == field.number(); });
 }
 
-bool Places::tried(const pb::Message& message, const std::string& field) const {
+bool Places::tried(const pb::Message& message, const std::string& name) const {
+    const auto& field = *message.GetDescriptor()->FindFieldByName(name);
+    if (written(message, field)) return true;
     const auto found = known_.find(&message);
     if (found == known_.end()) return false;
-    const auto& known = found->second;
-    return known.fields.count(field) != 0 ||
-           std::find(known.meant.begin(), known.meant.end(), field) != known.meant.end();
+    const auto& meant = found->second.meant;
+    return std::find(meant.begin(), meant.end(), field.number()) != meant.end();
 }
 
 const Rule& rule_of(const pb::FieldDescriptor& field) {
@@ -165,33 +193,19 @@
     Binder(const std::string& file, Places& places, Findings& findings)
         : file_(file), places_(places), findings_(findings) {}
 
-    void block(const std::vector<Field>& fields, pb::Message& into) {
-        const auto& type = *into.GetDescriptor();
-        for (const auto& field : fields) {
-            const std::string name(field.name);
-            const auto* const known = type.FindFieldByName(name);
-            if (known == nullptr) {
-                unknown(field, type, into);
-                continue;
-            }
-            auto& places = places_.known_[&into].fields[name];
-            if (!known->is_repeated() && !places.empty()) {
-                error(field.line, field.column,
-                      '\'' + name + "' is given twice; the first is at " + to_text(places.front()),
-                      "keep one of them");
-                continue;
-            }
-            if (field.kind == Field::Kind::list) {
-                if (!known->is_repeated()) {
-                    error(field.value_line, field.value_column, '\'' + name + "' takes one value, not a list",
-                          "write the value without brackets");
-                    continue;
-                }
-                for (const auto& item : field.children) value(item, *known, into);
-            } else {
-                value(field, *known, into);
-            }
-        }
+    void field(const Field& field, pb::Message& into) {
+        const std::string name(field.name);
+        const auto* const known = into.GetDescriptor()->FindFieldByName(name);
+        if (known == nullptr) return unknown(field, into);
+        if (!known->is_repeated() && places_.written(into, *known))
+            return error(field.line, field.column,
+                         '\'' + name + "' is given twice; the first is at " + to_text(places_.of(into, name)),
+                         "keep one of them");
+        if (field.kind != Field::Kind::list) return value(field, *known, into);
+        if (!known->is_repeated())
+            return error(field.value_line, field.value_column, '\'' + name + "' takes one value, not a list",
+                         "write the value without brackets");
+        for (const auto& item : field.children) value(item, *known, into);
     }
 
 private:
@@ -199,11 +213,12 @@
         findings_.error({file_, line, column}, std::move(what), std::move(fix));
     }
 
-    void unknown(const Field& field, const pb::Descriptor& type, const pb::Message& into) {
+    void unknown(const Field& field, const pb::Message& into) {
+        const auto& type = *into.GetDescriptor();
         std::vector<std::string> names;
         for (int i = 0; i < type.field_count(); ++i) names.push_back(type.field(i)->name());
         const auto near = nearest(field.name, names);
-        if (!near.empty()) places_.known_[&into].meant.push_back(near);
+        if (!near.empty()) places_.put_meant(into, *type.FindFieldByName(near));
         error(field.line, field.column,
               type.name() + " has no field '" + std::string(field.name.substr(0, 80)) + '\'',
               near.empty() ? "use one of " + list_of(names) : "write '" + near + '\'');
@@ -213,6 +228,7 @@
         const int line = field.value_line, column = field.value_column;
         const bool message = known.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE;
         if (message != (field.kind == Field::Kind::block)) {
+            places_.put_meant(into, known);
             error(
                 line, column,
                 message ? '\'' + known.name() + "' is a block" : '\'' + known.name() + "' is a single value",
@@ -224,12 +240,12 @@
             auto* const sub = known.is_repeated() ? reflection->AddMessage(&into, &known)
                                                   : reflection->MutableMessage(&into, &known);
             // The place of an entry of a list is its own, that of a named block is its name's.
-            places_.put(*sub, file_, field);
-            places_.known_[&into].fields[known.name()].push_back({file_, field.line, field.column});
-            block(field.children, *sub);
+            places_.put(*sub, field.line, field.column);
+            if (!known.is_repeated()) places_.put(into, known, field.line, field.column);
+            for (const auto& child : field.children) this->field(child, *sub);
             return;
         }
-        places_.known_[&into].fields[known.name()].push_back({file_, line, column});
+        places_.put(into, known, line, column);
         const auto& first = field.value.front();
         const auto say = [&](const std::string& what, const std::string& fix) {
             error(line, column, what, fix);
@@ -332,8 +348,9 @@
     Findings& findings_;
 };
 
-void bind(const Tree& tree, pb::Message& into, Places& places, Findings& findings) {
-    Binder(tree.file, places, findings).block(tree.fields, into);
+void bind_field(const std::string& file, const Field& field, pb::Message& into, Places& places,
+                Findings& findings) {
+    Binder(file, places, findings).field(field, into);
 }
 
 void check_required(const pb::Message& message, const Places& places, Findings& findings) {
--- a/src/lang/load.hpp
+++ b/src/lang/load.hpp
@@ -1,7 +1,6 @@
 // A configuration from its files: read, joined by includes, bound to the schema, checked, compiled to rules.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,8 +31,6 @@
     Places places;
     std::vector<std::string> files;  // in the order in which they were read
     bool whole = true;               // every file could be read
-    // The sources and trees that places and names refer to.
-    std::deque<std::string> sources;
 };
 
 constexpr std::size_t most_files = 1000, most_bytes = 16 << 20;
--- a/src/lang/read.cpp
+++ b/src/lang/read.cpp
@@ -60,11 +60,14 @@
             return fault("the files hold more than " + std::to_string(most_bytes) + " bytes",
                          "remove what is not needed");
         document_.files.push_back(shown);
-        const auto& source = document_.sources.emplace_back(std::get<std::string>(contents));
-        const auto tree = read_tree(shown, source, findings_);
-        document_.whole = document_.whole && tree.sound;
+        const auto& source = std::get<std::string>(contents);
         const int before = document_.config.include_size();
-        bind(tree, document_.config, document_.places, findings_);
+        document_.places.begin(shown);
+        Tree rest;
+        const bool sound = read_fields(shown, source, findings_, rest, [&](const Field& field) {
+            bind_field(shown, field, document_.config, document_.places, findings_);
+        });
+        document_.whole = document_.whole && sound;
         open_.push_back({shown, canonical});
         const int after = document_.config.include_size();
         for (int i = before; i < after; ++i) include(shown, i);
--- a/src/lang/tokens.cpp
+++ b/src/lang/tokens.cpp
@@ -30,7 +30,7 @@
             Token token;
             token.line = line_;
             token.column = column_;
-            token.blank_lines = std::max(0, lines_skipped_ - (tokens.empty() ? 0 : 1));
+            token.blank_before = lines_skipped_ > (tokens.empty() ? 0 : 1);
             token.first_of_line = tokens.empty() || lines_skipped_ > 0;
             const auto from = at_;
             if (at_ < source_.size() && tokens.size() < most_tokens && !take(token.kind, token)) {
--- a/src/lang/tokens.hpp
+++ b/src/lang/tokens.hpp
@@ -10,11 +10,11 @@
 namespace brasslift::lang {
 
 struct Token {
-    enum class Kind { name, number, text, mark, comment, end };
-    Kind kind = Kind::end;
+    enum class Kind : unsigned char { name, number, text, mark, comment, end };
     std::string_view text;  // as it stands in the source, which outlives it
     int line = 1, column = 1;
-    int blank_lines = 0;         // before it
+    Kind kind = Kind::end;
+    bool blank_before = false;   // a blank line stands before it
     bool first_of_line = false;  // nothing but space stands before it
 };
 
--- a/src/lang/tree.cpp
+++ b/src/lang/tree.cpp
@@ -14,23 +14,25 @@
     Reader(const std::string& file, std::vector<Token> tokens, Findings& findings)
         : file_(file), tokens_(std::move(tokens)), findings_(findings) {}
 
-    void read(Tree& tree) {
+    bool read(Tree& tree, const Sink& sink) {
+        bool sound = true;
         while (!at(Kind::end)) {
             if (is('}') || is('>') || is(']')) {
                 fault(std::string("nothing is open that this '") + next().text[0] + "' could close",
                       "remove it");
             } else {
                 Field field;
-                if (read_field(field, 1)) tree.fields.push_back(std::move(field));
+                if (read_field(field, 1)) sink(std::move(field));
             }
             if (failed_) {
-                tree.sound = false;
+                sound = false;
                 recover();
             }
             gather();
         }
         tree.inner = std::exchange(comments_, {});
         tree.inner_blank = comments_blank_;
+        return sound;
     }
 
 private:
@@ -38,8 +40,8 @@
     void gather() {
         while (tokens_[at_].kind == Kind::comment) {
             if (comments_.empty())
-                comments_blank_ = tokens_[at_].blank_lines > 0;
-            else if (tokens_[at_].blank_lines > 0)
+                comments_blank_ = tokens_[at_].blank_before;
+            else if (tokens_[at_].blank_before)
                 comments_.emplace_back();
             comments_.push_back(tokens_[at_++].text);
         }
@@ -82,10 +84,10 @@
 
     bool read_field(Field& field, int depth) {
         const Token name = next();
-        const bool set_apart = !comments_.empty() && name.blank_lines > 0;
+        const bool set_apart = !comments_.empty() && name.blank_before;
         field.before = std::exchange(comments_, {});
         if (set_apart) field.before.emplace_back();
-        field.blank_before = field.before.empty() ? name.blank_lines > 0 : comments_blank_;
+        field.blank_before = field.before.empty() ? name.blank_before : comments_blank_;
         field.line = name.line;
         field.column = name.column;
         if (name.kind != Kind::name) {
@@ -345,18 +347,21 @@
 
 }  // namespace
 
+bool read_fields(const std::string& file, std::string_view source, Findings& findings, Tree& tree,
+                 const Sink& sink) {
+    // The token at fault is told of by itself; what it cuts short is not its own fault.
+    Findings own;
+    auto tokens = read_tokens(file, source, own);
+    if (!own.any_errors()) return Reader(file, std::move(tokens), findings).read(tree, sink);
+    for (auto& finding : own.sorted()) findings.error(finding.at, finding.what, finding.fix);
+    return false;
+}
+
 Tree read_tree(const std::string& file, std::string_view source, Findings& findings) {
     Tree tree;
     tree.file = file;
-    Findings own;
-    auto tokens = read_tokens(file, source, own);
-    // The token at fault is told of by itself; what it cuts short is not its own fault.
-    if (own.any_errors()) {
-        tree.sound = false;
-        for (auto& finding : own.sorted()) findings.error(finding.at, finding.what, finding.fix);
-        return tree;
-    }
-    Reader(tree.file, std::move(tokens), findings).read(tree);
+    tree.sound = read_fields(file, source, findings, tree,
+                             [&](Field field) { tree.fields.push_back(std::move(field)); });
     return tree;
 }
 
--- a/src/lang/tree.hpp
+++ b/src/lang/tree.hpp
@@ -2,7 +2,7 @@
 // and what the formatter prints.
 #pragma once
 
-#include <deque>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -35,6 +35,12 @@
 
 constexpr int most_depth = 32;
 
+// Reads a file field by field, so that none stays longer than it is needed; the file's own comments go into
+// the tree. False: the file has a fault.
+using Sink = std::function<void(Field)>;
+bool read_fields(const std::string& file, std::string_view source, Findings& findings, Tree& tree,
+                 const Sink& sink);
+
 // The source must outlive the tree. After a fault the reading goes on where a line begins with a field's
 // name.
 Tree read_tree(const std::string& file, std::string_view source, Findings& findings);
--- a/tests/lang_test.cpp
+++ b/tests/lang_test.cpp
@@ -208,7 +208,8 @@
         const auto tree = read_tree("f", text, findings);
         config::v1::Operator own, theirs;
         Places places;
-        bind(tree, own, places, findings);
+        places.begin("f");
+        for (const auto& field : tree.fields) bind_field("f", field, own, places, findings);
         ASSERT_TRUE(findings.empty()) << path;
         ASSERT_TRUE(google::protobuf::TextFormat::ParseFromString(text, &theirs)) << path;
         EXPECT_EQ(own.DebugString(), theirs.DebugString()) << path;
