--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -2,6 +2,7 @@
 // has the figures.
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
 #include <random>
 
 #include "config_files.hpp"
@@ -69,6 +70,34 @@
 }
 BENCHMARK(look_up)->Arg(10)->Arg(1000)->Arg(10000);
 
+// What the index is weighed against: rules in order of precedence, the first that matches.
+void look_up_in_order(benchmark::State& state) {
+    const auto routes = static_cast<int>(state.range(0));
+    const auto rules = rules_of(bench::large(routes, std::max(1, routes / 10)));
+    const auto all = names();
+    std::mt19937 random(1);
+    const auto destinations = static_cast<std::uint32_t>(std::max(1, routes / 10) * 60);
+    const auto any = [](const std::vector<plan::Pattern>& patterns, const std::string& name) {
+        return patterns.empty() ||
+               std::any_of(patterns.begin(), patterns.end(), [&](const auto& p) { return p.matches(name); });
+    };
+    std::size_t hits = 0;
+    for (auto _ : state) {
+        const auto dest = static_cast<std::uint16_t>(random() % destinations);
+        const auto &tenant = all.tenants[random() % 500], &cls = all.classes[random() % 3];
+        for (const auto& rule : rules.routes) {
+            const auto& m = rule.match;
+            const bool there = std::any_of(m.destinations.begin(), m.destinations.end(),
+                                           [&](const auto& s) { return s.from <= dest && dest <= s.to; });
+            if (!there || !any(m.tenants, tenant) || !any(m.classes, cls)) continue;
+            ++hits;
+            break;
+        }
+    }
+    state.counters["hit"] = static_cast<double>(hits) / static_cast<double>(state.iterations());
+}
+BENCHMARK(look_up_in_order)->Arg(10)->Arg(1000)->Arg(10000);
+
 std::shared_ptr<const plan::Plan> limited(const std::string& text) {
     return std::make_shared<const plan::Plan>(rules_of(text), names());
 }
--- a/src/commands/platform.cpp
+++ b/src/commands/platform.cpp
@@ -13,6 +13,7 @@
     platform.tenants = config.tenants;
     platform.attempts = config.settings.max_attempts;
     platform.dial_timeout_ms = config.dial_timeout_ms;
+    platform.most_pause_ms = config.settings.max_pause_ms;
     platform.idle_ms = config.settings.conn_idle_ms;
     return platform;
 }
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -281,8 +281,10 @@
             if (!r.has_pool() && !r.has_refuse() && !judged)
                 error(places_.of(r), "route \"" + r.name() + "\" neither has a pool nor refuses",
                       "add pool: \"...\" or refuse { pause: \"...\" }");
-            if (r.has_refuse() && r.refuse().has_pause())
+            if (r.has_refuse() && r.refuse().has_pause()) {
                 route.refuse_pause_ms = duration_ms(r.refuse().pause());
+                check_pause(r.refuse(), "pause", r.refuse().pause());
+            }
             if (r.has_pool()) {
                 route.pool = refer(config_.pool(), r, "pool", r.pool(), "pool");
                 if (route.pool != plan::none) {
@@ -303,6 +305,18 @@
                   "more than " + std::to_string(most_routes) + " routes", "join some of them");
     }
 
+    // Clients may not know what to do with a longer pause than the platform has; operators may know better.
+    void check_pause(const google::protobuf::Message& holder, const char* field, const std::string& text) {
+        if (platform_ == nullptr || platform_->most_pause_ms <= 0 ||
+            duration_ms(text) <= platform_->most_pause_ms)
+            return;
+        findings_.warn(
+            places_.of(holder, field),
+            '"' + text + "\" is longer than the pauses that the platform tells, " +
+                shown_ms(platform_->most_pause_ms),
+            "write \"" + shown_ms(platform_->most_pause_ms) + "\" or less, if its clients heed no more");
+    }
+
     int route_of(const google::protobuf::Message& by, bool has, const std::string& name) {
         return has ? refer(config_.route(), by, "route", name, "route") : plan::none;
     }
@@ -331,7 +345,10 @@
             limit.held = l.held();
             if (l.has_held_bytes()) limit.held_bytes = bytes_of(l.held_bytes());
             if (l.has_lend()) limit.lend = part_of(l.lend());
-            if (l.has_horizon()) limit.horizon_ms = duration_ms(l.horizon());
+            if (l.has_horizon()) {
+                limit.horizon_ms = duration_ms(l.horizon());
+                check_pause(l, "horizon", l.horizon());
+            }
             const bool tried =
                 places_.tried(l, "rate") || places_.tried(l, "held") || places_.tried(l, "held_bytes");
             if (!l.has_rate() && !l.has_held() && !l.has_held_bytes() && !tried)
--- a/src/lang/load.hpp
+++ b/src/lang/load.hpp
@@ -24,6 +24,7 @@
     std::vector<std::string> tenants;  // none: any
     int attempts = 0;
     double dial_timeout_ms = 0, idle_ms = 0;
+    double most_pause_ms = 0;  // that its clients are told; 0: no such limit
 };
 
 struct Document {
--- a/tests/lang_test.cpp
+++ b/tests/lang_test.cpp
@@ -83,7 +83,7 @@
 }
 
 Platform platform() {
-    return {{{"safe", 16000}, {"keyed", 16000}, {"payment", 16000}}, {"acme"}, 4, 500, 3000};
+    return {{{"safe", 16000}, {"keyed", 16000}, {"payment", 16000}}, {"acme"}, 4, 500, 3000, 3000};
 }
 
 TEST(Language, HasOneMessageForEachBrokenFile) {
