--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "opentelemetry/proto/collector/trace/v1/trace_service.pb.h"
+#include "telemetry/delivery.hpp"
 #include "telemetry/encode.hpp"
 #include "telemetry/metrics.hpp"
 #include "telemetry/sampling.hpp"
@@ -252,6 +253,73 @@
     EXPECT_EQ(sum, 600u);
 }
 
+TEST(RetryAfter, IsReadInSeconds) {
+    EXPECT_EQ(read_retry_after("2"), 2000);
+    EXPECT_EQ(read_retry_after(" 0.25 "), 250);
+    EXPECT_EQ(read_retry_after("1e9"), std::nullopt);
+    EXPECT_EQ(read_retry_after("999999999999"), 86400000);
+    for (const auto* const bad : {"", "-1", "soon", "2s", "inf", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        EXPECT_EQ(read_retry_after(bad), std::nullopt) << bad;
+}
+
+TEST(Delivery, SendsAgainOnlyWhatTheSpecificationNames) {
+    for (int status = 100; status < 600; ++status) {
+        Delivery d({}, 1);
+        d.begin(0);
+        const auto fate = d.end(0, {status, std::nullopt, 0});
+        const bool again = status == 429 || status == 502 || status == 503 || status == 504;
+        EXPECT_EQ(fate, status / 100 == 2 ? Delivery::Fate::taken
+                        : again           ? Delivery::Fate::again
+                                          : Delivery::Fate::dropped)
+            << status;
+    }
+    Delivery d({}, 1);
+    d.begin(0);
+    EXPECT_EQ(d.end(0, {}), Delivery::Fate::again);  // no answer
+}
+
+TEST(Delivery, DoublesItsPausesWithinTheirBoundsAndSpreadsThem) {
+    double least = 1e9, most = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        Delivery d({100, 1000, 1e9, 0.2}, seed);
+        d.begin(0);
+        Time now = 0;
+        for (const double expected : {100.0, 200.0, 400.0, 800.0, 1000.0, 1000.0}) {
+            ASSERT_EQ(d.end(now, {503, std::nullopt, 0}), Delivery::Fate::again);
+            const double pause = d.not_before() - now;
+            ASSERT_GE(pause, expected * 0.8 - 1e-6);
+            ASSERT_LE(pause, expected * 1.2 + 1e-6);
+            if (expected == 100) least = std::min(least, pause), most = std::max(most, pause);
+            now = d.not_before();
+        }
+        // One that is taken begins anew.
+        d.end(now, {200, std::nullopt, 0});
+        d.end(now, {503, std::nullopt, 0});
+        ASSERT_LE(d.not_before() - now, 120);
+    }
+    EXPECT_LT(least, 85);
+    EXPECT_GT(most, 115);
+}
+
+TEST(Delivery, KeepsAToldWaitAndGivesUpInTheEnd) {
+    Delivery d({100, 1000, 5000, 0.2}, 1);
+    d.begin(0);
+    EXPECT_EQ(d.end(0, {429, 4000.0, 0}), Delivery::Fate::again);
+    EXPECT_EQ(d.not_before(), 4000);
+    EXPECT_EQ(d.end(4000, {429, 2000.0, 0}), Delivery::Fate::dropped);
+    EXPECT_EQ(d.not_before(), 6000);  // the next batch waits as it was told
+    EXPECT_EQ(d.end(6000, {502, 90000.0, 0}), Delivery::Fate::dropped);
+    EXPECT_LT(d.not_before(), 8000);  // a wait that comes with another answer binds nobody
+}
+
+TEST(Delivery, CountsWhatAPartialSuccessRejects) {
+    Delivery d({}, 1);
+    d.begin(0);
+    EXPECT_EQ(d.end(0, {200, std::nullopt, 7}), Delivery::Fate::taken);
+    EXPECT_EQ(d.end(0, {200, std::nullopt, -5}), Delivery::Fate::taken);
+    EXPECT_EQ(d.rejected(), 7u);
+}
+
 namespace otlp = opentelemetry::proto;
 
 void add(google::protobuf::RepeatedPtrField<otlp::common::v1::KeyValue>* into,
