Key a pool's cap by its name; one question per attempt; no second queue in the transport

Read over once more: calls in flight were counted under a pool's place in the file, so a reload that moved pools lost count and let a call past the cap (a new scenario shows it). Pools now go by pointer and name. The core asked the plan three times an attempt and judged spent attempts itself; Gate::permit answers once, and the judgement is in the module without I/O.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,8 +13,6 @@
 // one that is handed in under such an id again is no new message, and may not run a second time.
 constexpr std::size_t most_remembered = 4096;
 constexpr double remembered_ms = 30000;
-// When to come again with a message whose attempts, as an operator's policy allows them, are spent.
-constexpr double spent_pause_ms = 1000;
 
 plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
 
@@ -38,21 +36,19 @@
         if (m.ending == Ending::none) held.push_back({id, subject_of(m), m.body->size()});
     for (const auto& [id, candidate] : candidates_)
         held.push_back({id, subject_of(candidate.message), candidate.message.body->size()});
-    if (!plan) {
-        gate_.reset();
-    } else if (gate_) {
+    if (gate_) {
         gate_->change(std::move(plan), now_, held);
     } else {
         gate_ = std::make_unique<plan::Gate>(std::move(plan), now_);
         for (const auto& m : held) gate_->restore(m.id, m.subject, m.bytes);
     }
-    // What waits goes by the new caps; pools may have other numbers now.
+    // What waits goes by the new pools and their caps.
     parked_until_.clear();
     for (auto& [route, waiting] : std::exchange(parked_, {}))
         for (const auto& parked : waiting) {
             --flying_;
             const auto* const m = ledger_.find(parked.attempt.id);
-            send(parked.attempt, gate_ && m != nullptr ? gate_->path(subject_of(*m)).pool : 0);
+            send(parked.attempt, m == nullptr ? nullptr : gate_->pool(subject_of(*m)));
         }
 }
 
@@ -258,14 +254,12 @@
         ledger_.outcome(*m, v.result);
         auto* const left = ledger_.find(v.id);
         if (left != nullptr && outcome.over) {
-            if (left->ending == Ending::none) let_go(v.id);
+            let_go(v.id);  // nothing where it has ended before
             ledger_.end(*left, Ending::done, 0);
-        } else if (left != nullptr && gate_ && !left->flying) {
-            const int most = gate_->path(subject_of(*left)).attempts;
-            if (most > 0 && left->attempts >= most) {
-                end(*left, left->may_have_run ? Ending::failed : Ending::deferred, spent_pause_ms);
-                outcome.over = true;
-            }
+        } else if (left != nullptr && gate_ && !left->flying &&
+                   gate_->spent(subject_of(*left), left->attempts)) {
+            give_up(*left, plan::Gate::spent_pause_ms);
+            outcome.over = true;
         }
     }
     tell(outcome);
@@ -302,57 +296,43 @@
     mailbox_.put(verdict);
 }
 
+void Dispatcher::not_sent(const Attempt& attempt) {
+    const auto* const m = ledger_.find(attempt.id);
+    not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+}
+
 void Dispatcher::do_action(const Attempt& attempt) {
     auto* const m = ledger_.find(attempt.id);
-    if (m == nullptr || m->ending != Ending::none)
-        return not_sent(attempt, m == nullptr ? 0 : m->attempts, true);
+    if (m == nullptr || m->ending != Ending::none) return not_sent(attempt);
     const auto host = hosts_.find(attempt.endpoint.address);
     const int number = m->attempts;
     const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
                            number < settings_.max_attempts;
     if (!permitted) return not_sent(attempt, number, false);
-    std::size_t pool = 0;
-    if (gate_) {
-        const auto path = gate_->path(subject_of(*m));
-        if (!within_plan(*m, attempt, path)) return;
-        pool = path.pool;
-    }
-    send(attempt, pool);
-}
-
-// Whether the operators' policies allow one attempt more; else the message ends at once, before it.
-bool Dispatcher::within_plan(Owed& m, const Attempt& attempt, const plan::Gate::Path& path) {
-    const bool spent = path.attempts > 0 && m.attempts >= path.attempts;
-    const double pause = spent ? spent_pause_ms : m.attempts > 0 ? gate_->retry(now_, subject_of(m)) : 0;
-    if (pause > 0) {
-        const int number = m.attempts;
-        end(m, m.may_have_run ? Ending::failed : Ending::deferred, std::ceil(pause));
-        not_sent(attempt, number, true);
-        return false;
-    }
-    if (m.attempts == 0) gate_->first_attempt(now_, subject_of(m));
-    return true;
+    if (!gate_) return send(attempt, nullptr);
+    auto permit = gate_->permit(now_, subject_of(*m), number);
+    if (permit.pause_ms <= 0) return send(attempt, std::move(permit.pool));
+    give_up(*m, permit.pause_ms);
+    not_sent(attempt, number, true);
 }
 
-std::size_t Dispatcher::calls_cap(std::size_t pool) const {
-    if (pool == 0 || !gate_ || pool > gate_->plan().rules().pools.size()) return 0;
-    const auto& rule = gate_->plan().rules().pools[pool - 1];
-    const auto connections = rule.connections_per_host.value_or(0);
-    return rule.calls_per_host.value_or(connections);
+// By a policy, where the module would go on.
+void Dispatcher::give_up(Owed& m, double pause_ms) {
+    end(m, m.may_have_run ? Ending::failed : Ending::deferred, std::ceil(pause_ms));
 }
 
-void Dispatcher::send(const Attempt& attempt, std::size_t pool) {
+void Dispatcher::send(const Attempt& attempt, std::shared_ptr<const plan::PoolRule> pool) {
     auto* const m = ledger_.find(attempt.id);
     const auto host = hosts_.find(attempt.endpoint.address);
-    if (m == nullptr || m->ending != Ending::none || m->flying || host == hosts_.end() ||
-        host->second.destination != m->destination)
-        return not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+    // One that waited may have ended, or its host may have left, in the meantime.
+    if (m == nullptr || m->ending != Ending::none || host == hosts_.end()) return not_sent(attempt);
     const int number = m->attempts;
     const auto kind = host->second.kind;
     const auto room =
         static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
-    const Route route{attempt.endpoint, pool};
-    const auto cap = calls_cap(pool);
+    const Route route{attempt.endpoint, pool ? pool->name : std::string()};
+    // A connection carries one call.
+    const auto cap = pool ? pool->calls_per_host.value_or(pool->connections_per_host.value_or(0)) : 0;
     auto& calls = calls_[route];
     const bool fresh = calls.empty() || calls.back().parcels.size() >= room;
     if (fresh && cap > 0 && open_calls_[route] >= cap) {
@@ -362,13 +342,13 @@
                            : attempt.expires > 0 ? std::min(attempt.expires, due)
                                                  : due;
         ++flying_;
-        parked_[route].push_back({attempt, until});
+        parked_[route].push_back({attempt, until, std::move(pool)});
         parked_until_.emplace(until, route);
         return;
     }
     if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) return not_sent(attempt, number, false);
     ++flying_;
-    if (fresh) calls.push_back({attempt.endpoint, now_, {}, gate_ ? gate_->pool(pool) : nullptr});
+    if (fresh) calls.push_back({attempt.endpoint, now_, {}, std::move(pool)});
     if (cap > 0) {
         if (fresh) ++open_calls_[route];
         const auto beside = fresh ? open_.end() : open_.find(calls.back().parcels.back().id);
@@ -409,9 +389,7 @@
     if (found->second.empty()) parked_.erase(found);
     --flying_;
     // Others may have come before it in the meantime; then it goes to the end of a queue that is short.
-    if (parked.until > now_) return send(parked.attempt, route.second);
-    const auto* const m = ledger_.find(parked.attempt.id);
-    not_sent(parked.attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+    parked.until > now_ ? send(parked.attempt, parked.pool) : not_sent(parked.attempt);
 }
 
 // Attempts that found no room in their time never ran; the module decides anew.
@@ -431,8 +409,7 @@
         if (waiting.empty()) parked_.erase(found);
         for (const auto& attempt : over) {
             --flying_;
-            const auto* const m = ledger_.find(attempt.id);
-            not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+            not_sent(attempt);
         }
     }
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -20,8 +20,7 @@
     Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed, Ledger& ledger,
                Upstream& upstream, Outbox& outbox);
 
-    // From now on the operators' plan narrows what comes in and goes out; nullptr: nothing does. What is held
-    // stays counted.
+    // From now on the operators' plan narrows what comes in and goes out. What is held stays counted.
     void plan_by(std::shared_ptr<const plan::Plan> plan);
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
     void recover(const Listed& known);
@@ -47,7 +46,7 @@
     void on(const Planned& planned) { plan_by(planned.plan); }
 
     // Calls of a pool to a host, where the pool caps them.
-    using Route = std::pair<EndpointId, std::size_t>;
+    using Route = std::pair<EndpointId, std::string>;  // the pool by its name, which outlasts a reload
     struct OpenCall {
         Route route;
         std::size_t left = 0;  // messages that have not landed
@@ -55,6 +54,7 @@
     struct Parked {  // an attempt that waits until its host has room for a call
         Attempt attempt;
         Time until = 0;
+        std::shared_ptr<const plan::PoolRule> pool;
     };
 
     void tell(const Event& event);
@@ -73,13 +73,13 @@
     void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
     void let_go(MessageId id);
-    bool within_plan(Owed& message, const Attempt& attempt, const plan::Gate::Path& path);
-    std::size_t calls_cap(std::size_t pool) const;
-    void send(const Attempt& attempt, std::size_t pool);
+    void give_up(Owed& message, double pause_ms);
+    void send(const Attempt& attempt, std::shared_ptr<const plan::PoolRule> pool);
     void landed(MessageId id, int attempt);
     void unpark(const Route& route);
     void expire_parked();
     void not_sent(const Attempt& attempt, int number, bool over);
+    void not_sent(const Attempt& attempt);  // as its message stands
 
     runtime::Scheduler& scheduler_;
     runtime::Waker waker_;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -98,7 +98,7 @@
     Time at = 0;
 };
 
-// The operators' plan from now on; none: nothing narrows what the module is offered.
+// The operators' plan from now on.
 struct Planned {
     std::shared_ptr<const plan::Plan> plan;
 };
--- a/src/plan/gate.cpp
+++ b/src/plan/gate.cpp
@@ -63,23 +63,20 @@
     Admission admission;
     if (route != none)
         if (const auto& rule = rules.routes[static_cast<std::size_t>(route)]; rule.refuse_pause_ms)
-            return {false, *rule.refuse_pause_ms, 0, &rule.name};
+            return {false, *rule.refuse_pause_ms, 0};
     found_.clear();
     plan_->limits(subject, route, found_);
     charges_.clear();
     looks_.clear();
     for (const int limit : found_) {
-        const auto& rule = rules.limits[static_cast<std::size_t>(limit)];
         const Charge charge{limit, plan_->key(limit, subject, route),
                             static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
         auto* const count = count_of(now, limit, charge.key);
-        if (count == nullptr) return {false, no_count_pause_ms, 0, &rule.name};
+        if (count == nullptr) return {false, no_count_pause_ms, 0};
         const auto look = count->look(now, charge.lane, bytes, print);
         charges_.push_back(charge);
         looks_.push_back(look);
-        if (look.admitted) continue;
-        if (admission.by == nullptr) admission.by = &rule.name;
-        admission.admitted = false;
+        admission.admitted = admission.admitted && look.admitted;
     }
     // All limits or none: each that refuses gives a turn, and the last of those is when it is worth coming.
     for (std::size_t i = 0; i < charges_.size(); ++i) {
@@ -138,19 +135,6 @@
     if (!charged.charges.empty()) charged_.insert_or_assign(id, std::move(charged));
 }
 
-Gate::Path Gate::path(const Subject& subject) const {
-    const int route = plan_->route(subject);
-    Path path;
-    if (route != none)
-        path.pool = static_cast<std::size_t>(plan_->rules().routes[static_cast<std::size_t>(route)].pool + 1);
-    found_.clear();
-    plan_->policies(subject, route, found_);
-    for (const int policy : found_)
-        if (const auto& most = plan_->rules().policies[static_cast<std::size_t>(policy)].attempts)
-            path.attempts = path.attempts > 0 ? std::min(path.attempts, *most) : *most;
-    return path;
-}
-
 Gate::Budget& Gate::refilled(Time now, int policy) {
     auto& budget = budgets_[static_cast<std::size_t>(policy)];
     const auto& rule = *plan_->rules().policies[static_cast<std::size_t>(policy)].budget;
@@ -159,36 +143,51 @@
     return budget;
 }
 
-void Gate::first_attempt(Time now, const Subject& subject) {
+std::shared_ptr<const PoolRule> Gate::pool_of(int route) const {
+    if (route == none) return nullptr;
+    const int pool = plan_->rules().routes[static_cast<std::size_t>(route)].pool;
+    if (pool == none) return nullptr;
+    return {plan_, &plan_->rules().pools[static_cast<std::size_t>(pool)]};
+}
+
+std::shared_ptr<const PoolRule> Gate::pool(const Subject& subject) const {
+    return pool_of(plan_->route(subject));
+}
+
+bool Gate::spent_by(const std::vector<int>& policies, int made) const {
+    return std::any_of(policies.begin(), policies.end(), [&](int policy) {
+        const auto& most = plan_->rules().policies[static_cast<std::size_t>(policy)].attempts;
+        return most && made >= *most;
+    });
+}
+
+bool Gate::spent(const Subject& subject, int made) const {
     found_.clear();
     plan_->policies(subject, plan_->route(subject), found_);
-    for (const int policy : found_)
-        if (const auto& rule = plan_->rules().policies[static_cast<std::size_t>(policy)].budget) {
-            auto& budget = refilled(now, policy);
-            budget.left = std::min(rule->saved, budget.left + rule->part);
-        }
+    return spent_by(found_, made);
 }
 
-double Gate::retry(Time now, const Subject& subject) {
+Gate::Permit Gate::permit(Time now, const Subject& subject, int made) {
+    const int route = plan_->route(subject);
     found_.clear();
-    plan_->policies(subject, plan_->route(subject), found_);
+    plan_->policies(subject, route, found_);
+    if (spent_by(found_, made)) return {spent_pause_ms, nullptr};
     std::erase_if(found_, [&](int policy) {
         return !plan_->rules().policies[static_cast<std::size_t>(policy)].budget;
     });
     double pause = 0;
     for (const int policy : found_) {
-        const double left = refilled(now, policy).left,
-                     least = plan_->rules().policies[static_cast<std::size_t>(policy)].budget->least;
-        if (left < 1) pause = std::max({pause, 1.0, (1 - left) / least * 1000});
+        const auto& rule = *plan_->rules().policies[static_cast<std::size_t>(policy)].budget;
+        auto& budget = refilled(now, policy);
+        if (made == 0)
+            budget.left = std::min(rule.saved, budget.left + rule.part);
+        else if (budget.left < 1)
+            pause = std::max({pause, 1.0, (1 - budget.left) / rule.least * 1000});
     }
-    if (pause > 0) return pause;
-    for (const int policy : found_) budgets_[static_cast<std::size_t>(policy)].left -= 1;
-    return 0;
-}
-
-std::shared_ptr<const PoolRule> Gate::pool(std::size_t place) const {
-    if (place == 0) return nullptr;
-    return {plan_, &plan_->rules().pools[place - 1]};
+    if (pause > 0) return {pause, nullptr};
+    if (made > 0)
+        for (const int policy : found_) budgets_[static_cast<std::size_t>(policy)].left -= 1;
+    return {0, pool_of(route)};
 }
 
 void Gate::change(std::shared_ptr<const Plan> plan, Time now, const std::vector<Held>& held) {
--- a/src/plan/gate.hpp
+++ b/src/plan/gate.hpp
@@ -20,9 +20,8 @@
 
     struct Admission {
         bool admitted = true;
-        double pause_ms = 0;              // where it is not: after which to come again
-        double deadline_ms = 0;           // the policies' narrowest, from now; 0: none
-        const std::string* by = nullptr;  // the route or limit that refuses
+        double pause_ms = 0;     // where it is not: after which to come again
+        double deadline_ms = 0;  // the policies' narrowest, from now; 0: none
     };
     // A message that is handed in. `print` tells one client's message from another's; `again`: its client
     // says that it was refused before. Where it is admitted it is counted under `id` until release or undo.
@@ -33,15 +32,20 @@
     // A message that was taken on by an earlier life: counted, room or none.
     void restore(MessageId id, const Subject& subject, std::size_t bytes);
 
-    struct Path {
-        std::size_t pool = 0;  // 0: the dispatcher's own settings; else a place in the plan's pools, from 1
-        int attempts = 0;      // at most; 0: no limit
+    struct Permit {
+        double pause_ms = 0;  // where the message may have no attempt more: after which to come again; else 0
+        std::shared_ptr<const PoolRule>
+            pool;  // whose connections it uses; none: the dispatcher's own settings
     };
-    Path path(const Subject& subject) const;
-    // A first attempt earns its budgets' parts; one more is permitted only if all have a whole retry left.
-    // The pause that is due where it is not, 0 where it is.
-    void first_attempt(Time now, const Subject& subject);
-    double retry(Time now, const Subject& subject);
+    // Of a message that has had so many attempts. A first one earns its budgets' parts, each further one
+    // needs a whole retry in all of them.
+    Permit permit(Time now, const Subject& subject, int made);
+    // Whether its policies allow it no attempt more; permit() would say the same.
+    bool spent(const Subject& subject, int made) const;
+    // When to come again with a message that is spent.
+    static constexpr double spent_pause_ms = 1000;
+    // The pool of a message that has a permit, by the present plan.
+    std::shared_ptr<const PoolRule> pool(const Subject& subject) const;
 
     struct Held {
         MessageId id = 0;
@@ -53,8 +57,6 @@
     void change(std::shared_ptr<const Plan> plan, Time now, const std::vector<Held>& held);
 
     const Plan& plan() const { return *plan_; }
-    // The pool of a path; none for the dispatcher's own settings.
-    std::shared_ptr<const PoolRule> pool(std::size_t place) const;
     std::size_t counts() const { return total_; }
     std::uint64_t held(const std::string& limit) const;
 
@@ -76,6 +78,8 @@
     Count* count_of(Time now, int limit, std::uint64_t key);
     bool make_room(Time now);
     Budget& refilled(Time now, int policy);
+    bool spent_by(const std::vector<int>& policies, int made) const;
+    std::shared_ptr<const PoolRule> pool_of(int route) const;
 
     std::shared_ptr<const Plan> plan_;
     std::vector<Counts> counts_;   // by limit
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -40,9 +40,7 @@
         static const std::string own;
         return call.pool ? call.pool->name : own;
     }
-    std::size_t most_connections() const {
-        return call.pool ? call.pool->connections_per_host.value_or(0) : 0;
-    }
+    bool capped() const { return call.pool && call.pool->connections_per_host; }
     bool bulk() const { return call.parcels.size() > 1; }
     bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
     bool surplus = false;         // more came than belongs to the answer
@@ -196,30 +194,6 @@
     host.waker.notify();
 }
 
-// Waits for a connection's place, where the pool has only so many to a host. False: none came in time.
-runtime::Task<bool> Pool::come_in(Host& host, Flight& flight) {
-    const auto most = flight.most_connections();
-    if (most == 0) co_return true;
-    auto& used = host.used[flight.pool()];
-    const Time until = std::min(flight.expires, flight.start_by);
-    while (used >= most) {
-        if (scheduler_.now() >= until) co_return false;
-        auto& queue = host.queues[flight.pool()];
-        queue.push_back(&flight.waker);
-        co_await flight.waker.wait(until);
-        std::erase(queue, &flight.waker);
-    }
-    ++used;
-    co_return true;
-}
-
-void Pool::leave(Host& host, const Flight& flight) {
-    if (flight.most_connections() == 0) return;
-    --host.used[flight.pool()];
-    auto& queue = host.queues[flight.pool()];
-    if (!queue.empty()) queue.front()->notify();
-}
-
 Time& Pool::wait_of(Host& host) {
     return host.state.apart ? host.wait_until : waits_[host.state.destination];
 }
@@ -238,21 +212,15 @@
         flight.expires = std::max(flight.expires, parcel.expires);
         if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
     }
-    const bool has_place = co_await come_in(host, flight);
-    if (!has_place) {
-        flight.ended.cause = Cause::not_allowed;
-        land(flight);
-        co_return;
-    }
     co_await exchange(host, flight);
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
     if (!answered || flight.ended.cause != Cause::none) flight.socket.close();
     if (answered) heed(host, fate_of(flight.ended, flight.parser.message().headers));
     land(flight);
-    if (flight.socket && !flight.parser.complete()) co_await read_answer(flight);
+    // Where connections are capped, the next call counts on this one's place as soon as it has landed.
+    if (flight.socket && !flight.parser.complete() && !flight.capped()) co_await read_answer(flight);
     if (flight.reusable()) give_back(host, flight);
-    leave(host, flight);
 }
 
 runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -64,9 +64,6 @@
         Time left_at = runtime::never;  // since when the list says that it drains or is gone
         Time wait_until = 0;            // of a host that is a route of its own
         std::deque<Idle> idle;          // the latest used last
-        // Of pools that cap their connections: calls that have one, and those that wait for one.
-        std::map<std::string, std::size_t> used;
-        std::map<std::string, std::deque<runtime::Waker*>> queues;
     };
     struct Flight;
     using HostPtr = std::shared_ptr<Host>;  // its actor and each of its calls hold it
@@ -74,8 +71,6 @@
     std::string request_of(const Flight& flight) const;
     runtime::Task<void> run(HostPtr host);
     runtime::Task<void> carry(HostPtr host, dispatch::Call call);
-    runtime::Task<bool> come_in(Host& host, Flight& flight);
-    void leave(Host& host, const Flight& flight);
     runtime::Task<void> exchange(Host& host, Flight& flight);
     runtime::Task<bool> write_all(Flight& flight, const std::string& text);
     runtime::Task<void> read_answer(Flight& flight);
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -155,6 +155,46 @@
               "");
 }
 
+// The cap is the pool's, whatever its place in the file: a call that is out counts through a reload.
+TEST(Operator, KeepsToAPoolsCapThroughAReload) {
+    EXPECT_EQ(play(R"(
+        operator pool { name: "p" destination: "1" calls_per_host: 1 }\nroute { name: "r" pool: "p" }
+        start
+        c1 post payment m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 200
+        c1 post payment m2 8000m 1
+        h1 expect Req-Id: m2
+        operator pool { name: "o" destination: "2" }\nroute { name: "s" pool: "o" }\npool { name: "p" destination: "1" calls_per_host: 1 }\nroute { name: "r" pool: "p" }
+        reload d
+        wait 150
+        c2 post payment m3 8000m 1
+        c2 expect 202
+        h absent Req-Id: m3 300
+        h1 answer 200
+        h expect Req-Id: m3
+    )"),
+              "");
+}
+
+TEST(Operator, KeepsNoMoreIdleConnectionsThanItsPoolMay) {
+    EXPECT_EQ(play(R"(
+        operator pool { name: "p" destination: "1" idle_total: 0 }\nroute { name: "r" pool: "p" }
+        start
+        c1 post safe m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 200
+        h1 closed
+        c2 post safe m2 8000m 2
+        g1 expect Req-Id: m2
+        g1 answer 200
+        g1 absent nothing 50
+        c2 post safe m3 8000m 2
+        g1 expect Req-Id: m3
+    )"),
+              "");
+}
+
 // Two pools to one host share no connection.
 TEST(Operator, KeepsThePoolsOfAHostApart) {
     EXPECT_EQ(play(R"(
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -330,7 +330,6 @@
     Gate gate(plan_of({by_tenant(10, 100), limit("all", 10, 3)}), 0);
     MessageId id = 0;
     EXPECT_EQ(admit(gate, 0, 50, 1, id), 3);
-    Gate::Admission a;
     gate.change(plan_of({by_tenant(10, 100)}), 0, {});
     EXPECT_EQ(admit(gate, 0, 200, 1, id), 97);
 }
@@ -433,7 +432,9 @@
     c.name = "c", c.match.classes = {{"payment", false}}, c.deadline_ms = 100;
     Gate gate(plan_of({}, {a, b, c}), 0);
     EXPECT_EQ(gate.admit(0, 1, {0, 0, 0}, 1, 1, false).deadline_ms, 8000);
-    EXPECT_EQ(gate.path({0, 0, 0}).attempts, 2);
+    EXPECT_FALSE(gate.spent({0, 0, 0}, 1));
+    EXPECT_TRUE(gate.spent({0, 0, 0}, 2));
+    EXPECT_EQ(gate.permit(0, {0, 0, 0}, 2).pause_ms, Gate::spent_pause_ms);
     EXPECT_EQ(gate.admit(0, 2, {2, 0, 0}, 1, 2, false).deadline_ms, 100);
 }
 
@@ -445,17 +446,17 @@
     const Subject s{0, 0, 0};
     int retries = 0;
     for (int i = 0; i < 1000; ++i) {
-        gate.first_attempt(i, s);
+        EXPECT_EQ(gate.permit(i, s, 0).pause_ms, 0);
         for (int n = 0; n < 3; ++n)
-            retries += gate.retry(i, s) <= 0 ? 1 : 0;  // an outage: all would go again
+            retries += gate.permit(i, s, 1).pause_ms <= 0 ? 1 : 0;  // an outage: all would go again
     }
     EXPECT_LE(retries, 10 + 200 + 1);
     EXPECT_GE(retries, 200);
-    const double pause = gate.retry(1000, s);
+    const double pause = gate.permit(1000, s, 1).pause_ms;
     EXPECT_GT(pause, 0);
     gate.change(plan_of({}, {p}), 1000, {});
-    EXPECT_GT(gate.retry(1000, s), 0);  // a reload saves up nothing
-    EXPECT_EQ(gate.retry(1000 + pause + 1, s), 0);
+    EXPECT_GT(gate.permit(1000, s, 1).pause_ms, 0);  // a reload saves up nothing
+    EXPECT_EQ(gate.permit(1000 + pause + 1, s, 1).pause_ms, 0);
 }
 
 }  // namespace
