Use what was there: JSON strings, trimming; read destinations once; one rule for schemas

Read over once more: the language wrote JSON strings and the telemetry trimmed headers although config and http do; destinations were parsed by the binder and again by the compiler; unknown names were told in three places; most of the compiler stood in a header; two proto rules were the same.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 config-docs: build
 	cmake --build build --target schema_doc
-	cmake -DTOOL=build/schema_doc -DSCHEMA=build/proto/schema.desc -DDOC=docs/config-language.md -DWRITE=ON -P tests/schema_doc.cmake
+	cmake -DTOOL=build/schema_doc -DSCHEMA=build/proto/brasslift_schema.desc -DDOC=docs/config-language.md -DWRITE=ON -P tests/schema_doc.cmake
 
 bench:
 	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBRASSLIFT_BENCH=ON
--- a/src/commands/config_command.cpp
+++ b/src/commands/config_command.cpp
@@ -22,13 +22,33 @@
 
 void print(const std::string& text) { std::fwrite(text.data(), 1, text.size(), stdout); }
 
+std::string to_json(const lang::Finding& f) {
+    return "{\"file\":" + config::quoted(f.at.file) + ",\"line\":" + std::to_string(f.at.line) +
+           ",\"column\":" + std::to_string(f.at.column) +
+           ",\"severity\":" + (f.severity == lang::Severity::error ? "\"error\"" : "\"warning\"") +
+           ",\"what\":" + config::quoted(f.what) + ",\"fix\":" + config::quoted(f.fix) + '}';
+}
+
+std::string to_json(const lang::Change& c) {
+    using Kind = lang::Change::Kind;
+    const char* const kind = c.kind == Kind::added     ? "added"
+                             : c.kind == Kind::removed ? "removed"
+                                                       : "changed";
+    return std::string("{\"change\":\"") + kind + "\",\"entry\":" + config::quoted(c.entry) +
+           ",\"name\":" + config::quoted(c.name) + ",\"field\":" + config::quoted(c.field) +
+           ",\"before\":" + config::quoted(c.before) + ",\"after\":" + config::quoted(c.after) + '}';
+}
+
+template <class Item>
+std::string json_list(const std::vector<Item>& items) {
+    std::string text = "[";
+    for (const auto& item : items) text += (text.size() > 1 ? ",\n " : "") + to_json(item);
+    return text + "]\n";
+}
+
 void tell(const lang::Findings& findings, bool json) {
     const auto all = findings.sorted();
-    if (json) {
-        std::string text = "[";
-        for (const auto& f : all) text += (text.size() > 1 ? ",\n " : "") + lang::to_json(f);
-        return print(text + "]\n");
-    }
+    if (json) return print(json_list(all));
     for (const auto& f : all) print(lang::to_text(f) + '\n');
     if (findings.left_out() > 0) print("and " + std::to_string(findings.left_out()) + " more\n");
 }
@@ -61,8 +81,9 @@
     Command(const char* name, const char* text, const char* arguments)
         : options_(std::string("brasslift config ") + name, text) {
         options_.positional_help(arguments).show_positional_help();
-        options_.add_options()("h,help", "print this text")(
-            "files", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
+        options_.add_options()("h,help", "print this text");
+        // In a group that the help does not print: the usage line has them.
+        options_.add_options("arguments")("files", "", cxxopts::value<std::vector<std::string>>());
         options_.parse_positional({"files"});
     }
     cxxopts::OptionAdder add() { return options_.add_options(); }
@@ -70,19 +91,13 @@
     std::optional<cxxopts::ParseResult> parse(int argc, char** argv, std::size_t least, std::size_t most) {
         auto given = options_.parse(argc, argv);
         if (given.count("help") > 0) {
-            auto text = options_.help({""});
-            // The positional arguments stand in the usage line already.
-            if (const auto at = text.find("      --files"); at != std::string::npos)
-                text.erase(at, text.find('\n', at) - at + 1);
-            print(text);
+            print(options_.help({""}));
             return std::nullopt;
         }
-        files = given["files"].as<std::vector<std::string>>();
-        std::erase(files, "");
+        if (given.count("files") > 0) files = given["files"].as<std::vector<std::string>>();
         if (files.size() < least || files.size() > most) throw Usage("wrong number of files");
         return given;
     }
-    std::string help() { return options_.help({""}); }
     std::vector<std::string> files;
 
 private:
@@ -101,13 +116,7 @@
     for (const auto& file : command.files) {
         Checked checked;
         check_into(checked, file, platform ? &*platform : nullptr);
-        if (command.files.size() == 1) {
-            all = checked.findings;
-            break;
-        }
-        for (const auto& f : checked.findings.sorted())
-            f.severity == lang::Severity::error ? all.error(f.at, f.what, f.fix)
-                                                : all.warn(f.at, f.what, f.fix);
+        all.add_all(checked.findings);
     }
     tell(all, given->count("json") > 0);
     return all.empty() ? fine : found;
@@ -181,7 +190,7 @@
     const bool both = sound(before);
     if (!sound(after) || !both) return usage;
     const auto changes = lang::differences(before.document, after.document);
-    print(given->count("json") > 0 ? lang::to_json(changes) : lang::to_text(changes));
+    print(given->count("json") > 0 ? json_list(changes) : lang::to_text(changes));
     return changes.empty() ? fine : found;
 }
 
--- a/src/lang/bind.cpp
+++ b/src/lang/bind.cpp
@@ -84,54 +84,11 @@
     }
 }
 
-bool name_char(char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-           c == '_' || c == '.';
-}
-
-bool is_name(std::string_view text) {
-    constexpr std::size_t most_name = 64;
-    return !text.empty() && text.size() <= most_name && std::all_of(text.begin(), text.end(), name_char) &&
-           text[0] != '-' && text[0] != '.' && text[0] != '_';
-}
-
-bool is_number(std::string_view text) {
-    return !text.empty() && text.size() <= 5 &&
-           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
-           std::stoi(std::string(text)) <= 65535;
-}
-
 Misread misread_name(std::string_view text) {
-    return {'"' + std::string(text.substr(0, 80)) + "\" is no name",
+    return {shown(text, 80) + " is no name",
             "use letters, digits, '-', '_' and '.', a letter or digit first, at most 64"};
 }
 
-std::optional<Misread> judge_destination(std::string_view text) {
-    const bool digits_only = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return (c >= '0' && c <= '9') || c == '-';
-    });
-    if (!digits_only) {
-        const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
-        if (is_name(stem)) return std::nullopt;
-        return Misread{'"' + std::string(text.substr(0, 80)) + "\" is no destination",
-                       "write a number, a range like \"10-19\", a name, or the beginning of one and '*'"};
-    }
-    const auto dash = text.find('-');
-    if (dash == std::string_view::npos) {
-        if (is_number(text)) return std::nullopt;
-        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is beyond the last destination",
-                       "write a number up to 65535"};
-    }
-    const auto from = text.substr(0, dash), to = text.substr(dash + 1);
-    if (!is_number(from) || !is_number(to))
-        return Misread{'"' + std::string(text.substr(0, 40)) + "\" is no range of destinations",
-                       "write two numbers up to 65535, like \"10-19\""};
-    if (std::stoi(std::string(from)) > std::stoi(std::string(to)))
-        return Misread{'"' + std::string(text) + "\" is a range that ends before it begins",
-                       "write \"" + std::string(to) + '-' + std::string(from) + '"'};
-    return std::nullopt;
-}
-
 // What is wrong with a text by its rule.
 std::optional<Misread> judge_text(const Rule& rule, const std::string& text) {
     if (const auto unit = unit_of(rule.kind())) {
@@ -154,17 +111,21 @@
         case config::v1::PATTERN: {
             const auto stem = text.ends_with('*') ? text.substr(0, text.size() - 1) : text;
             if (is_name(stem)) return std::nullopt;
-            return Misread{'"' + text.substr(0, 80) + "\" is no name and no beginning of one",
+            return Misread{shown(text, 80) + " is no name and no beginning of one",
                            text == "*" ? "leave the field out: then everything matches"
                                        : "write a name, with '*' only at its end"};
         }
-        case config::v1::DESTINATION: return judge_destination(text);
+        case config::v1::DESTINATION: {
+            const auto read = read_destination(text);
+            const auto* const misread = std::get_if<Misread>(&read);
+            return misread == nullptr ? std::nullopt : std::optional(*misread);
+        }
         case config::v1::LABEL: {
             const auto equals = text.find('=');
             if (equals != std::string::npos && is_name(text.substr(0, equals)) &&
                 is_name(text.substr(equals + 1)))
                 return std::nullopt;
-            return Misread{'"' + text.substr(0, 80) + "\" is no label", "write it as \"key=value\""};
+            return Misread{shown(text, 80) + " is no label", "write it as \"key=value\""};
         }
         case config::v1::PATH:
             if (!text.empty()) return std::nullopt;
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -2,6 +2,30 @@
 #include "plan/plan.hpp"
 
 namespace brasslift::lang {
+namespace {
+
+// The destinations of a set as sorted ranges that do not touch.
+std::vector<std::pair<int, int>> joined(const std::vector<plan::Span>& spans) {
+    std::vector<std::pair<int, int>> all, out;
+    for (const auto& s : spans) all.emplace_back(s.from, s.to);
+    std::sort(all.begin(), all.end());
+    for (const auto& [from, to] : all) {
+        if (!out.empty() && from <= out.back().second + 1)
+            out.back().second = std::max(out.back().second, to);
+        else
+            out.emplace_back(from, to);
+    }
+    return out;
+}
+
+template <class Value>
+std::vector<std::string> keys_of(const std::map<std::string, Value>& map) {
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : map) keys.push_back(key);
+    return keys;
+}
+
+}  // namespace
 
 plan::Rules Compiler::run() {
     destinations();
@@ -36,6 +60,100 @@
     }
 }
 
+std::vector<plan::Span> Compiler::spans(const google::protobuf::Message& holder,
+                                        const Entries<std::string>& texts) {
+    using Kind = DestinationText::Kind;
+    std::vector<plan::Span> found;
+    for (int i = 0; i < texts.size(); ++i) {
+        const auto read = read_destination(texts[i]);
+        const auto* const d = std::get_if<DestinationText>(&read);
+        if (d == nullptr) continue;  // told when it was bound
+        const auto fault = [&](std::string what, std::string fix) {
+            error(places_.of(holder, "destination", i), std::move(what), std::move(fix));
+        };
+        switch (d->kind) {
+            case Kind::number: found.push_back({d->from, d->to, plan::exact_number}); break;
+            case Kind::range:
+                found.push_back({d->from, d->to, plan::exactness_of_range(1U + d->to - d->from)});
+                break;
+            case Kind::prefix: {
+                const auto before = found.size();
+                for (auto it = names_.lower_bound(d->name);
+                     it != names_.end() && it->first.starts_with(d->name); ++it)
+                    found.push_back({it->second, it->second, plan::exactness_of_prefix(d->name.size())});
+                if (found.size() == before)
+                    fault("no destination's name begins with \"" + d->name + '"',
+                          "declare one: destination { number: ... name: \"" + d->name + "...\" }");
+                break;
+            }
+            case Kind::name:
+                if (const auto named = names_.find(d->name); named != names_.end())
+                    found.push_back({named->second, named->second, plan::exact_number});
+                else
+                    fault("no destination is named \"" + d->name + '"',
+                          nearest_or(d->name, keys_of(names_),
+                                     "declare it: destination { number: ... name: \"" + d->name + "\" }"));
+                break;
+        }
+    }
+    return found;
+}
+
+void Compiler::check_known(const google::protobuf::Message& holder, const char* field, int index,
+                           const plan::Pattern& pattern, const std::vector<std::string>* known) {
+    if (known == nullptr ||
+        std::any_of(known->begin(), known->end(), [&](const auto& name) { return pattern.matches(name); }))
+        return;
+    error(places_.of(holder, field, index),
+          std::string("the platform has no ") + field +
+              (pattern.prefix ? " whose name begins with \"" : " \"") + pattern.text + '"',
+          pattern.prefix ? "remove it" : nearest_or(pattern.text, *known, "remove it"));
+}
+
+std::vector<plan::Pattern> Compiler::patterns(const google::protobuf::Message& holder, const char* field,
+                                              const Entries<std::string>& texts,
+                                              const std::vector<std::string>* known) {
+    std::vector<plan::Pattern> found;
+    for (int i = 0; i < texts.size(); ++i) {
+        plan::Pattern p{texts[i], texts[i].ends_with('*')};
+        if (p.prefix) p.text.pop_back();
+        check_known(holder, field, i, p, known);
+        found.push_back(std::move(p));
+    }
+    return found;
+}
+
+plan::Match Compiler::match(const v1::Match& m) {
+    plan::Match out;
+    out.classes = patterns(m, "class", m.class_(), known_classes());
+    out.tenants = patterns(m, "tenant", m.tenant(), known_tenants());
+    out.destinations = spans(m, m.destination());
+    out.nothing = out.destinations.empty() && m.destination_size() > 0;
+    return out;
+}
+
+const std::vector<std::string>* Compiler::known_classes() {
+    if (platform_ == nullptr) return nullptr;
+    if (class_names_.empty())
+        for (const auto& c : platform_->classes) class_names_.push_back(c.name);
+    return &class_names_;
+}
+
+const std::vector<std::string>* Compiler::known_tenants() const {
+    return platform_ == nullptr || platform_->tenants.empty() ? nullptr : &platform_->tenants;
+}
+
+void Compiler::check_pause(const google::protobuf::Message& holder, const char* field,
+                           const std::string& text) {
+    if (platform_ == nullptr || platform_->most_pause_ms <= 0 ||
+        duration_ms(text) <= platform_->most_pause_ms)
+        return;
+    const auto most = shown_ms(platform_->most_pause_ms);
+    findings_.warn(places_.of(holder, field),
+                   '"' + text + "\" is longer than the pauses that the platform tells, " + most,
+                   "write \"" + most + "\" or less, if its clients heed no more");
+}
+
 void Compiler::pools() {
     for (const auto& p : config_.pool()) {
         plan::PoolRule pool;
@@ -66,11 +184,8 @@
         for (int i = 0; i < p.label_size(); ++i) {
             const auto found = labels_.find(p.label(i));
             if (found == labels_.end()) {
-                std::vector<std::string> known;
-                for (const auto& [label, numbers] : labels_) known.push_back(label);
-                const auto near = nearest(p.label(i), known);
                 error(places_.of(p, "label", i), "no destination has the label \"" + p.label(i) + '"',
-                      near.empty() ? "label one, or remove this" : "write \"" + near + '"');
+                      nearest_or(p.label(i), keys_of(labels_), "label one, or remove this"));
                 continue;
             }
             for (const auto number : found->second) members.push_back({number, number, plan::exact_number});
@@ -147,10 +262,8 @@
 
 void Compiler::overlaps() {
     plan::Names names = names_in(rules_);
-    if (platform_ != nullptr) {
-        names.classes = class_names();
-        if (!platform_->tenants.empty()) names.tenants = platform_->tenants;
-    }
+    if (const auto* const known = known_classes()) names.classes = *known;
+    if (const auto* const known = known_tenants()) names.tenants = *known;
     try {
         const plan::Plan plan(rules_, names);
         const auto found = plan.route_index().analyse();
--- a/src/lang/compile_limits.cpp
+++ b/src/lang/compile_limits.cpp
@@ -66,19 +66,8 @@
                                   : plan::Dimension::route;
         out.name = g.has_tenant() ? g.tenant() : g.has_class_() ? g.class_() : g.route();
         if (g.has_route() && refer(config_.route(), g, "route", g.route(), "route") == plan::none) continue;
-        if (platform_ != nullptr && g.has_tenant() && !platform_->tenants.empty() &&
-            std::find(platform_->tenants.begin(), platform_->tenants.end(), out.name) ==
-                platform_->tenants.end()) {
-            const auto near = nearest(out.name, platform_->tenants);
-            error(places_.of(g, "tenant"), "the platform has no tenant \"" + out.name + '"',
-                  near.empty() ? "remove it" : "write \"" + near + '"');
-        }
-        if (platform_ != nullptr && g.has_class_() &&
-            std::find(class_names().begin(), class_names().end(), out.name) == class_names().end()) {
-            const auto near = nearest(out.name, class_names());
-            error(places_.of(g, "class"), "the platform has no class \"" + out.name + '"',
-                  near.empty() ? "remove it" : "write \"" + near + '"');
-        }
+        if (g.has_tenant()) check_known(g, "tenant", 0, {out.name, false}, known_tenants());
+        if (g.has_class_()) check_known(g, "class", 0, {out.name, false}, known_classes());
         out.part = part_of(g.part());
         if (!limit.guarantees.empty() && limit.guarantees.front().of != out.of)
             error(places_.of(g), "limit \"" + l.name() + "\" guarantees parts to different kinds of owners",
--- a/src/lang/load.hpp
+++ b/src/lang/load.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,8 +29,7 @@
 struct Document {
     config::v1::Operator config;
     Places places;
-    std::vector<std::string> files;  // in the order in which they were read
-    bool whole = true;               // every file could be read
+    bool whole = true;  // every file could be read
 };
 
 constexpr std::size_t most_files = 1000, most_bytes = 16 << 20;
--- a/src/lang/meaning.cpp
+++ b/src/lang/meaning.cpp
@@ -224,20 +224,6 @@
     return out;
 }
 
-std::string to_json(const std::vector<Change>& changes) {
-    std::string out = "[";
-    for (const auto& c : changes) {
-        if (out.size() > 1) out += ",\n ";
-        const char* const kind = c.kind == Change::Kind::added     ? "added"
-                                 : c.kind == Change::Kind::removed ? "removed"
-                                                                   : "changed";
-        out += std::string("{\"change\":\"") + kind + "\",\"entry\":" + json_text(c.entry) +
-               ",\"name\":" + json_text(c.name) + ",\"field\":" + json_text(c.field) +
-               ",\"before\":" + json_text(c.before) + ",\"after\":" + json_text(c.after) + '}';
-    }
-    return out + "]\n";
-}
-
 std::string show(const Document& document) { return Shower().run(meaning_of(document, true)); }
 
 }  // namespace brasslift::lang
--- a/src/lang/meaning.hpp
+++ b/src/lang/meaning.hpp
@@ -32,7 +32,6 @@
 // Sorted. Empty where both mean the same, however they are written and in which files.
 std::vector<Change> differences(const Document& before, const Document& after);
 std::string to_text(const std::vector<Change>& changes);
-std::string to_json(const std::vector<Change>& changes);
 
 // The whole configuration in one file that means the same, each value with the place it came from.
 std::string show(const Document& document);
--- a/src/lang/read.cpp
+++ b/src/lang/read.cpp
@@ -59,7 +59,6 @@
         if (bytes_ > most_bytes)
             return fault("the files hold more than " + std::to_string(most_bytes) + " bytes",
                          "remove what is not needed");
-        document_.files.push_back(shown);
         const auto& source = std::get<std::string>(contents);
         const int before = document_.config.include_size();
         document_.places.begin(shown);
--- a/src/lang/source.cpp
+++ b/src/lang/source.cpp
@@ -42,30 +42,9 @@
     return std::string_view::npos;
 }
 
-std::string json_text(std::string_view text) {
-    std::string out = "\"";
-    const bool readable = first_bad_utf8(text) == std::string_view::npos;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto c = static_cast<unsigned char>(text[i]);
-        if (c == '"' || c == '\\') {
-            (out += '\\') += static_cast<char>(c);
-        } else if (c >= 0x20 && (c < 0x7f || (c > 0x7f && readable))) {
-            out += static_cast<char>(c);
-        } else {
-            // Bytes beyond ASCII are told by their number: a finding may be about what is no UTF-8.
-            char escaped[8];
-            std::snprintf(escaped, sizeof escaped, "\\u%04x", c);
-            out += escaped;
-        }
-    }
-    return out + '"';
-}
-
-std::string to_json(const Finding& f) {
-    return "{\"file\":" + json_text(f.at.file) + ",\"line\":" + std::to_string(f.at.line) +
-           ",\"column\":" + std::to_string(f.at.column) +
-           ",\"severity\":" + (f.severity == Severity::error ? "\"error\"" : "\"warning\"") +
-           ",\"what\":" + json_text(f.what) + ",\"fix\":" + json_text(f.fix) + '}';
+std::string shown(std::string_view text, std::size_t most, char quote) {
+    while (most < text.size() && most > 0 && (static_cast<unsigned char>(text[most]) & 0xc0) == 0x80) --most;
+    return quote + std::string(text.substr(0, most)) + quote;
 }
 
 void Findings::add(Finding finding) {
@@ -84,6 +63,11 @@
     add({std::move(at), Severity::warning, std::move(what), std::move(fix)});
 }
 
+void Findings::add_all(const Findings& others) {
+    for (const auto& finding : others.all_) add(finding);
+    left_out_ += others.left_out_;
+}
+
 std::vector<Finding> Findings::sorted() const {
     auto all = all_;
     std::stable_sort(all.begin(), all.end(), [](const Finding& a, const Finding& b) { return a.at < b.at; });
@@ -141,4 +125,9 @@
     return best;
 }
 
+std::string nearest_or(std::string_view word, const std::vector<std::string>& names, std::string otherwise) {
+    const auto near = nearest(word, names);
+    return near.empty() ? otherwise : "write \"" + near + '"';
+}
+
 }  // namespace brasslift::lang
--- a/src/lang/source.hpp
+++ b/src/lang/source.hpp
@@ -25,14 +25,15 @@
 };
 // "file:line:column: error: what; fix: fix"
 std::string to_text(const Finding& finding);
-std::string to_json(const Finding& finding);
 std::size_t first_bad_utf8(std::string_view text);  // where it begins; npos: all is UTF-8
-std::string json_text(std::string_view text);  // quoted and escaped; what is not UTF-8 is told byte by byte
+// A text from a file as findings quote it: in quotes, cut between characters.
+std::string shown(std::string_view text, std::size_t most = 40, char quote = '"');
 
 class Findings {
 public:
     void error(Place at, std::string what, std::string fix = {});
     void warn(Place at, std::string what, std::string fix = {});
+    void add_all(const Findings& others);
     bool any_errors() const { return errors_ > 0; }
     bool empty() const { return all_.empty() && left_out_ == 0; }
     // In the order of files and lines. Past `most` only their number is kept.
@@ -67,5 +68,7 @@
 
 // The nearest of some names, empty where none is near.
 std::string nearest(std::string_view word, const std::vector<std::string>& names);
+// The fix for a word that is none of these names: the nearest, else what is said.
+std::string nearest_or(std::string_view word, const std::vector<std::string>& names, std::string otherwise);
 
 }  // namespace brasslift::lang
--- a/src/lang/tree.cpp
+++ b/src/lang/tree.cpp
@@ -156,18 +156,24 @@
         return true;
     }
 
+    // The bracket that begins a value; comments between the name and it stay with the field.
+    Token open(Field& field, Field::Kind kind) {
+        const Token bracket = take();
+        field.kind = kind;
+        field.value_line = bracket.line;
+        field.value_column = bracket.column;
+        std::move(comments_.begin(), comments_.end(), std::back_inserter(field.before));
+        comments_.clear();
+        return bracket;
+    }
+
     bool read_block(Field& field, int depth) {
-        const Token open = take();
-        field.kind = Field::Kind::block;
-        field.value_line = open.line;
-        field.value_column = open.column;
+        const Token open = this->open(field, Field::Kind::block);
         if (depth >= most_depth)
             return fault_at(open, "blocks are nested more than " + std::to_string(most_depth) + " deep",
                             "nothing needs that; remove some"),
                    false;
         const char close = open.text[0] == '{' ? '}' : '>';
-        auto own = std::exchange(comments_, {});  // between the name and the bracket
-        std::move(own.begin(), own.end(), std::back_inserter(field.before));
         while (!is(close)) {
             if (at(Kind::end))
                 return fault_at(open,
@@ -191,12 +197,7 @@
     }
 
     bool read_list(Field& field, int depth) {
-        const Token open = take();
-        field.kind = Field::Kind::list;
-        field.value_line = open.line;
-        field.value_column = open.column;
-        auto own = std::exchange(comments_, {});
-        std::move(own.begin(), own.end(), std::back_inserter(field.before));
+        const Token open = this->open(field, Field::Kind::list);
         while (!is(']')) {
             if (at(Kind::end))
                 return fault_at(open, "the '[' of '" + std::string(field.name) + "' is never closed",
--- a/src/lang/units.cpp
+++ b/src/lang/units.cpp
@@ -1,9 +1,14 @@
 #include "lang/units.hpp"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
+#include <optional>
 #include <span>
 
+#include "lang/source.hpp"
+
 namespace brasslift::lang {
 namespace {
 
@@ -43,13 +48,24 @@
 
 bool digit(char c) { return c >= '0' && c <= '9'; }
 
+bool name_char(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || digit(c) || c == '-' || c == '_' || c == '.';
+}
+
+// A destination's number; nothing where it is none or too large.
+std::optional<std::uint16_t> read_number(std::string_view text) {
+    std::uint16_t value = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return fault == std::errc{} && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
+}
+
 }  // namespace
 
 std::variant<Quantity, Misread> read_quantity(Unit unit, std::string_view text) {
     const std::string fix = std::string("write it as ") + example(unit);
-    const auto shown = '"' + std::string(text.substr(0, 40)) + '"';
+    const auto quoted = shown(text);
     if (text.empty()) return Misread{std::string("an empty text is not ") + noun(unit), fix};
-    if (text.front() == '-') return Misread{shown + " is below zero", fix};
+    if (text.front() == '-') return Misread{quoted + " is below zero", fix};
     std::size_t at = 0;
     Wide digits = 0, scale = 1;
     bool any = false, overflow = false, point = false, fine = false;
@@ -70,20 +86,19 @@
         digits = digits * 10 + (text[at] - '0');
         if (point) scale *= 10;
     }
-    if (!any || text[at - 1] == '.') return Misread{shown + " is not " + noun(unit), fix};
+    if (!any || text[at - 1] == '.') return Misread{quoted + " is not " + noun(unit), fix};
     const auto suffix = text.substr(at);
-    if (suffix.empty()) return Misread{shown + " has no unit", fix};
+    if (suffix.empty()) return Misread{quoted + " has no unit", fix};
     for (const auto& s : suffixes(unit)) {
         if (s.text != suffix) continue;
         const Wide value = digits * s.worth;
         if (overflow || value / scale > std::numeric_limits<std::int64_t>::max())
-            return Misread{shown + " is too large to be counted", "write a smaller value"};
+            return Misread{quoted + " is too large to be counted", "write a smaller value"};
         if (fine || value % scale != 0)
-            return Misread{shown + " is finer than can be counted", "write fewer decimals"};
+            return Misread{quoted + " is finer than can be counted", "write fewer decimals"};
         return Quantity{static_cast<std::int64_t>(value / scale)};
     }
-    return Misread{"'" + std::string(suffix.substr(0, 20)) + "' in " + shown + " is no unit of " + noun(unit),
-                   fix};
+    return Misread{shown(suffix, 20, '\'') + " in " + quoted + " is no unit of " + noun(unit), fix};
 }
 
 std::string write_quantity(Unit unit, Quantity quantity) {
@@ -99,4 +114,37 @@
     return std::to_string(quantity.value / least.worth) + '.' + decimals + std::string(least.text);
 }
 
+bool is_name(std::string_view text) {
+    constexpr std::size_t most_name = 64;
+    return !text.empty() && text.size() <= most_name && std::all_of(text.begin(), text.end(), name_char) &&
+           text[0] != '-' && text[0] != '.' && text[0] != '_';
+}
+
+std::variant<DestinationText, Misread> read_destination(std::string_view text) {
+    using Kind = DestinationText::Kind;
+    const bool numeric =
+        !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return digit(c) || c == '-'; });
+    if (!numeric) {
+        const bool prefix = text.ends_with('*');
+        const auto name = prefix ? text.substr(0, text.size() - 1) : text;
+        if (is_name(name))
+            return DestinationText{prefix ? Kind::prefix : Kind::name, 0, 0, std::string(name)};
+        return Misread{shown(text, 80) + " is no destination",
+                       "write a number, a range like \"10-19\", a name, or the beginning of one and '*'"};
+    }
+    const auto dash = text.find('-');
+    if (dash == std::string_view::npos) {
+        if (const auto number = read_number(text)) return DestinationText{Kind::number, *number, *number, {}};
+        return Misread{shown(text) + " is beyond the last destination", "write a number up to 65535"};
+    }
+    const auto from = read_number(text.substr(0, dash)), to = read_number(text.substr(dash + 1));
+    if (!from || !to)
+        return Misread{shown(text) + " is no range of destinations",
+                       "write two numbers up to 65535, like \"10-19\""};
+    if (*from > *to)
+        return Misread{shown(text) + " is a range that ends before it begins",
+                       "write \"" + std::to_string(*to) + '-' + std::to_string(*from) + '"'};
+    return DestinationText{Kind::range, *from, *to, {}};
+}
+
 }  // namespace brasslift::lang
--- a/src/lang/units.hpp
+++ b/src/lang/units.hpp
@@ -23,6 +23,15 @@
     std::string what, fix;
 };
 
+// A destination as it is written: numbers from..to, a name, or the beginning of one.
+struct DestinationText {
+    enum class Kind { number, range, name, prefix } kind = Kind::number;
+    std::uint16_t from = 0, to = 0;
+    std::string name;  // without the '*'
+};
+std::variant<DestinationText, Misread> read_destination(std::string_view text);
+bool is_name(std::string_view text);
+
 std::variant<Quantity, Misread> read_quantity(Unit unit, std::string_view text);
 // The shortest way to write it that means the same.
 std::string write_quantity(Unit unit, Quantity quantity);
--- a/src/plan/index.hpp
+++ b/src/plan/index.hpp
@@ -42,7 +42,6 @@
         std::vector<Overlap> ambiguous;  // both match a message and none is the more exact
     };
     Analysis analyse() const;
-    std::size_t cells() const { return entries_.size(); }
     std::size_t shapes() const { return shapes_.size(); }
     std::size_t bytes() const;
 
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -40,7 +40,6 @@
     std::string name;
     std::optional<std::uint32_t> connections_per_host, calls_per_host, idle_total;
     std::optional<double> dial_timeout_ms, idle_ms;
-    bool operator==(const PoolRule&) const = default;
 };
 
 struct RouteRule {
@@ -57,7 +56,6 @@
     Dimension of = Dimension::tenant;  // a tenant, a class or a route
     std::string name;
     double part = 0;
-    bool operator==(const Guarantee&) const = default;
 };
 
 struct LimitRule {
--- a/src/telemetry/delivery.cpp
+++ b/src/telemetry/delivery.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "http/message.hpp"
+
 namespace brasslift::telemetry {
 namespace {
 
@@ -17,8 +19,7 @@
 }  // namespace
 
 std::optional<double> read_retry_after(std::string_view header) {
-    while (!header.empty() && header.front() == ' ') header.remove_prefix(1);
-    while (!header.empty() && header.back() == ' ') header.remove_suffix(1);
+    header = http::trimmed(header);
     double seconds = 0;
     const auto [end, fault] =
         std::from_chars(header.data(), header.data() + header.size(), seconds, std::chars_format::fixed);
--- a/src/telemetry/trace.cpp
+++ b/src/telemetry/trace.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "http/message.hpp"
+
 namespace brasslift::telemetry {
 namespace {
 
@@ -31,12 +33,6 @@
     }
 }
 
-std::string_view trimmed(std::string_view text) {
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
-    return text;
-}
-
 bool key_char(char c) {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' || c == '-' || c == '*' || c == '/';
 }
@@ -73,7 +69,7 @@
 
 std::optional<Context> read_traceparent(std::string_view header) {
     constexpr std::size_t length = 55;  // of version 00
-    header = trimmed(header);
+    header = http::trimmed(header);
     if (header.size() < length || header[2] != '-' || header[35] != '-' || header[52] != '-')
         return std::nullopt;
     const int high = hex(header[0]), low = hex(header[1]);
@@ -103,7 +99,7 @@
     std::vector<std::string_view> keys;
     while (!header.empty()) {
         const auto comma = header.find(',');
-        const auto member = trimmed(header.substr(0, comma));
+        const auto member = http::trimmed(header.substr(0, comma));
         header = comma == std::string_view::npos ? std::string_view{} : header.substr(comma + 1);
         if (member.empty()) continue;  // allowed, and means nothing
         const auto equals = member.find('=');
