--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t most_remembered = 4096;
 constexpr double remembered_ms = 30000;
 
-plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
-
 }  // namespace
 
 Dispatcher::Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed,
@@ -29,29 +27,6 @@
       upstream_(upstream),
       outbox_(outbox) {}
 
-void Dispatcher::plan_by(std::shared_ptr<const plan::Plan> plan) {
-    now_ = scheduler_.now();
-    std::vector<plan::Gate::Held> held;
-    for (const auto& [id, m] : ledger_.all())
-        if (m.ending == Ending::none) held.push_back({id, subject_of(m), m.body->size()});
-    for (const auto& [id, candidate] : candidates_)
-        held.push_back({id, subject_of(candidate.message), candidate.message.body->size()});
-    if (gate_) {
-        gate_->change(std::move(plan), now_, held);
-    } else {
-        gate_ = std::make_unique<plan::Gate>(std::move(plan), now_);
-        for (const auto& m : held) gate_->restore(m.id, m.subject, m.bytes);
-    }
-    // What waits goes by the new pools and their caps.
-    parked_until_.clear();
-    for (auto& [route, waiting] : std::exchange(parked_, {}))
-        for (const auto& parked : waiting) {
-            --flying_;
-            const auto* const m = ledger_.find(parked.attempt.id);
-            send(parked.attempt, m == nullptr ? nullptr : gate_->pool(subject_of(*m)));
-        }
-}
-
 void Dispatcher::recover(const Listed& known) {
     now_ = scheduler_.now();
     // Once a life: a step of the wall clock while it runs moves no deadline.
@@ -316,104 +291,6 @@
     not_sent(attempt, number, true);
 }
 
-// By a policy, where the module would go on.
-void Dispatcher::give_up(Owed& m, double pause_ms) {
-    end(m, m.may_have_run ? Ending::failed : Ending::deferred, std::ceil(pause_ms));
-}
-
-void Dispatcher::send(const Attempt& attempt, std::shared_ptr<const plan::PoolRule> pool) {
-    auto* const m = ledger_.find(attempt.id);
-    const auto host = hosts_.find(attempt.endpoint.address);
-    // One that waited may have ended, or its host may have left, in the meantime.
-    if (m == nullptr || m->ending != Ending::none || host == hosts_.end()) return not_sent(attempt);
-    const int number = m->attempts;
-    const auto kind = host->second.kind;
-    const auto room =
-        static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
-    const Route route{attempt.endpoint, pool ? pool->name : std::string()};
-    // A connection carries one call.
-    const auto cap = pool ? pool->calls_per_host.value_or(pool->connections_per_host.value_or(0)) : 0;
-    auto& calls = calls_[route];
-    const bool fresh = calls.empty() || calls.back().parcels.size() >= room;
-    if (fresh && cap > 0 && open_calls_[route] >= cap) {
-        // It has not begun: no record says that it has.
-        const Time due = m->due_wall - wall_offset_;
-        const Time until = attempt.start_by > 0  ? std::min(attempt.start_by, due)
-                           : attempt.expires > 0 ? std::min(attempt.expires, due)
-                                                 : due;
-        ++flying_;
-        parked_[route].push_back({attempt, until, std::move(pool)});
-        parked_until_.emplace(until, route);
-        return;
-    }
-    if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) return not_sent(attempt, number, false);
-    ++flying_;
-    if (fresh) calls.push_back({attempt.endpoint, now_, {}, std::move(pool)});
-    if (cap > 0) {
-        if (fresh) ++open_calls_[route];
-        const auto beside = fresh ? open_.end() : open_.find(calls.back().parcels.back().id);
-        auto call =
-            beside == open_.end() ? std::make_shared<OpenCall>(OpenCall{route, 0}) : beside->second.second;
-        ++call->left;
-        open_.insert_or_assign(m->id, std::pair(number, std::move(call)));
-    }
-    Parcel parcel;
-    parcel.id = m->id;
-    parcel.name = m->name;
-    parcel.key = m->key;
-    parcel.body = m->body;
-    parcel.attempt = number;
-    parcel.due = m->due_wall - wall_offset_;
-    parcel.expires = attempt.expires > 0 ? attempt.expires : parcel.due;
-    parcel.start_by = attempt.start_by;
-    calls.back().parcels.push_back(std::move(parcel));
-}
-
-// A message of a capped call has landed; the last one makes room for what waits.
-void Dispatcher::landed(MessageId id, int attempt) {
-    const auto found = open_.find(id);
-    if (found == open_.end() || found->second.first != attempt) return;
-    const auto call = std::move(found->second.second);
-    open_.erase(found);
-    if (--call->left > 0) return;
-    if (const auto count = open_calls_.find(call->route); count != open_calls_.end() && --count->second == 0)
-        open_calls_.erase(count);
-    unpark(call->route);
-}
-
-void Dispatcher::unpark(const Route& route) {
-    const auto found = parked_.find(route);
-    if (found == parked_.end()) return;
-    const auto parked = found->second.front();
-    found->second.pop_front();
-    if (found->second.empty()) parked_.erase(found);
-    --flying_;
-    // Others may have come before it in the meantime; then it goes to the end of a queue that is short.
-    parked.until > now_ ? send(parked.attempt, parked.pool) : not_sent(parked.attempt);
-}
-
-// Attempts that found no room in their time never ran; the module decides anew.
-void Dispatcher::expire_parked() {
-    while (!parked_until_.empty() && parked_until_.begin()->first <= now_) {
-        const auto route = parked_until_.begin()->second;
-        parked_until_.erase(parked_until_.begin());
-        const auto found = parked_.find(route);
-        if (found == parked_.end()) continue;
-        auto& waiting = found->second;
-        std::vector<Attempt> over;
-        std::erase_if(waiting, [&](const Parked& p) {
-            if (p.until > now_) return false;
-            over.push_back(p.attempt);
-            return true;
-        });
-        if (waiting.empty()) parked_.erase(found);
-        for (const auto& attempt : over) {
-            --flying_;
-            not_sent(attempt);
-        }
-    }
-}
-
 void Dispatcher::let_go(MessageId id) {
     if (gate_) gate_->release(now_, id);
 }
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -25,6 +25,8 @@
     std::size_t bytes = 0;  // that it takes in the journal
 };
 
+inline plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
+
 class Ledger {
 public:
     explicit Ledger(journal::Log& log) : log_(log) {}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -264,12 +264,11 @@
 }
 
 int run(int argc, char** argv) {
-    const std::string command = argc > 1 && argv[1][0] != '-' ? argv[1] : "serve";
-    const int skipped = argc > 1 && argv[1][0] != '-' ? 1 : 0;
-    argc -= skipped;
-    argv += skipped;
-    if (skipped == 0 && argc > 1 && (std::string(argv[1]) == "--help" || std::string(argv[1]) == "-h"))
-        return std::printf("%s", commands_text) < 0 ? 1 : 0;
+    const std::string first = argc > 1 ? argv[1] : "";
+    if (first == "--help" || first == "-h") return std::printf("%s", commands_text) < 0 ? 1 : 0;
+    const bool named = !first.empty() && first[0] != '-';
+    const std::string command = named ? first : "serve";
+    if (named) --argc, ++argv;
     if (command == "serve") {
         cxxopts::Options options(
             "brasslift serve",
--- a/tests/lang_test.cpp
+++ b/tests/lang_test.cpp
@@ -172,6 +172,11 @@
     EXPECT_NE(told(shelf, "f0").find("more than 1000 files"), std::string::npos);
 }
 
+TEST(Findings, AreCutBetweenCharacters) {
+    EXPECT_EQ(shown("\xc3\xa9\xc3\xa9", 3), "\"\xc3\xa9\"");
+    EXPECT_EQ(shown("abc", 3), "\"abc\"");
+}
+
 TEST(Units, MeanTheSameHoweverTheyAreWritten) {
     const auto value = [](Unit unit, const char* text) {
         return std::get<Quantity>(read_quantity(unit, text)).value;
