--- a/bench/telemetry_bench.cpp
+++ b/bench/telemetry_bench.cpp
@@ -63,7 +63,7 @@
             p->set_end_time_unix_nano(s.end);
             for (const auto& a : s.attributes) {
                 auto* const kv = p->add_attributes();
-                kv->set_key(a.key);
+                kv->set_key(std::string(a.key));
                 if (const auto* const text = std::get_if<std::string>(&a.value))
                     kv->mutable_value()->set_string_value(*text);
                 if (const auto* const number = std::get_if<std::int64_t>(&a.value))
--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -184,6 +184,12 @@
     // Tells what has happened and appends what is to be done. Events of one moment carry the same time.
     void handle(Time now, const Event& event, std::vector<Action>& actions);
 
+    // For whoever watches; they change nothing. Until when a message that has just failed sleeps before it
+    // may be sent again: a time in the past where it does not. The calls at a time that a host's window
+    // allows, 0 where it is not known.
+    Time sleeps_until(MessageId id) const;
+    double window(EndpointId id) const;
+
 private:
     class Choice;
     std::unique_ptr<Choice> choice_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -117,7 +117,7 @@
     MessageId id = 0;
     int message_class = 0, destination = 0, group = 0;
     std::uint64_t key = 0, call = 0;
-    Time due = 0, sent = 0, first_risky = never;
+    Time due = 0, sent = 0, wakes = 0, first_risky = never;
     std::uint16_t zone = 0;  // of the first attempt that may have run
     State state = State::ready;
     int attempts = 0, endpoint = -1;
@@ -181,6 +181,10 @@
         pump();
         arm();
     }
+    Time sleeps_until(MessageId id) const { return messages_.count(id) ? messages_.at(id).wakes : 0; }
+    double window(EndpointId id) const {
+        return by_id_.count(id) == 0 ? 0 : lanes_[endpoints_[by_id_.at(id)].lane].window;
+    }
 
 private:
     void ask() { act(Subscribe{}); }
@@ -921,7 +925,7 @@
         const bool permitted = m.first_risky == never || c.repeat != Repeat::side_effect;
         if (!permitted || m.attempts >= s_.max_attempts || now_ + sleep >= last_call(m)) return finish(m);
         m.state = State::sleeping;
-        set_timer(now_ + sleep, TimerKind::sleep, m.id);
+        set_timer(m.wakes = now_ + sleep, TimerKind::sleep, m.id);
         if (last_call(m) < last_moment(m)) set_timer(last_call(m), TimerKind::deadline, m.id);
     }
 
@@ -1066,5 +1070,7 @@
 void Sender::handle(Time now, const Event& event, std::vector<Action>& actions) {
     choice_->handle(now, event, actions);
 }
+Time Sender::sleeps_until(MessageId id) const { return choice_->sleeps_until(id); }
+double Sender::window(EndpointId id) const { return choice_->window(id); }
 
 }  // namespace brasslift
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -56,12 +56,15 @@
                            : attempt.expires > 0 ? std::min(attempt.expires, due)
                                                  : due;
         ++flying_;
+        if (observer_ != nullptr) observer_->parked(now_, m->id);
         parked_[route].push_back({attempt, until, std::move(pool)});
         parked_until_.emplace(until, route);
         return;
     }
     if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) return not_sent(attempt, number, false);
     ++flying_;
+    Trace trace;
+    if (observer_ != nullptr) trace = observer_->sends(now_, *m, pool.get());
     if (fresh) calls.push_back({attempt.endpoint, now_, {}, std::move(pool)});
     if (cap > 0) {
         if (fresh) ++open_calls_[route];
@@ -80,6 +83,7 @@
     parcel.due = m->due_wall - wall_offset_;
     parcel.expires = attempt.expires > 0 ? attempt.expires : parcel.due;
     parcel.start_by = attempt.start_by;
+    parcel.trace = std::move(trace);
     calls.back().parcels.push_back(std::move(parcel));
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -55,6 +55,11 @@
         restored.may_have_run = m.may_have_run;
         restored.first_risky = m.risky_wall - wall_offset_;
         restored.zone = m.risky_zone;
+        if (observer_ != nullptr) {
+            observer_->restored(now_, m);
+            // Said once: the next start finds it in the journal.
+            if (m.cut) ledger_.outcome(m, Result::reset);
+        }
         tell(restored);
     }
     perform();
@@ -110,40 +115,85 @@
     if (!actions_.empty()) perform();  // what withdrawals led to
 }
 
+Seen Dispatcher::seen_of(const Submission& s) {
+    const auto tenant_part = (std::size_t{s.tenant} + 1) * 0x9e3779b97f4a7c15U;
+    return {s.name,
+            s.message_class,
+            s.tenant,
+            s.destination,
+            s.body->size(),
+            s.trace,
+            s.came,
+            s.again,
+            s.key.empty() ? 0 : std::hash<std::string_view>()(s.key) ^ tenant_part,
+            print_of(s) ^ tenant_part};
+}
+
+Seen Dispatcher::seen_of(const Candidate& c) {
+    const auto& m = c.message;
+    const auto tenant_part = (std::size_t{m.tenant} + 1) * 0x9e3779b97f4a7c15U;
+    return {m.name,
+            m.message_class,
+            m.tenant,
+            m.destination,
+            m.body->size(),
+            c.trace,
+            c.came,
+            c.again,
+            m.key.empty() ? 0 : std::hash<std::string_view>()(m.key) ^ tenant_part,
+            c.print ^ tenant_part};
+}
+
+void Dispatcher::refuse(const Submission& s, Client& client, Reply reply, Refusal by, double pause_ms,
+                        std::string_view rule) {
+    if (observer_ != nullptr) observer_->refused(now_, seen_of(s), by, rule, pause_ms);
+    client.answer({reply, pause_ms, 0});
+}
+
 void Dispatcher::on(Submission& s) {
     const auto client = s.client.lock();
     // A client that left before its answer may hand in again under another id: its message never starts.
     if (!client) return;
-    if (!client->present()) return client->answer({Reply::full, full_pause_ms, 0});
+    if (!client->present()) return refuse(s, *client, Reply::full, Refusal::gone, full_pause_ms);
     if (destinations_.count(s.destination) == 0)
-        return client->answer({list_heard_ ? Reply::nowhere : Reply::unlisted, full_pause_ms, 0});
+        return refuse(s, *client, list_heard_ ? Reply::nowhere : Reply::unlisted,
+                      list_heard_ ? Refusal::nowhere : Refusal::unlisted, full_pause_ms);
     // A client whose connection broke sends the same request once more: it is taken on once. Whoever hands
     // something else in under an id that another client's message has, is told so.
     forget_ids();
     const auto print = print_of(s);
-    if (const auto known = ids_.find(s.name); known != ids_.end())
-        return client->answer({known->second == print ? Reply::taken : Reply::conflict, 0, 0});
-    if (coming_.count(s.name) != 0) return client->answer({Reply::conflict, 0, 0});
+    if (const auto known = ids_.find(s.name); known != ids_.end()) {
+        if (known->second == print) return client->answer({Reply::taken, 0, 0});
+        return refuse(s, *client, Reply::conflict, Refusal::conflict, 0);
+    }
+    if (coming_.count(s.name) != 0) return refuse(s, *client, Reply::conflict, Refusal::conflict, 0);
     if (ledger_.held() + candidates_.size() >= static_cast<std::size_t>(settings_.max_held))
-        return client->answer({Reply::full, full_pause_ms, 0});
+        return refuse(s, *client, Reply::full, Refusal::held, full_pause_ms);
+    const auto id = ledger_.reserve_id();
+    if (gate_) {
+        const auto mark = print ^ (std::size_t{s.tenant} + 1) * 0x9e3779b97f4a7c15U;
+        const auto admission =
+            gate_->admit(now_, id, {s.message_class, s.tenant, s.destination}, s.body->size(), mark, s.again);
+        // Pauses are told in whole milliseconds: one that is rounded down would be too early.
+        if (!admission.admitted)
+            return refuse(s, *client, Reply::refused, Refusal::plan, std::ceil(admission.pause_ms),
+                          admission.by == nullptr ? std::string_view() : *admission.by);
+        if (admission.deadline_ms > 0) s.due = std::min(s.due, now_ + admission.deadline_ms);
+    }
     Candidate candidate;
     auto& m = candidate.message;
-    m.id = ledger_.reserve_id();
+    m.id = id;
     m.name = std::move(s.name);
     m.key = std::move(s.key);
     m.message_class = s.message_class;
     m.tenant = s.tenant;
     m.destination = s.destination;
     m.body = std::move(s.body);
-    if (gate_) {
-        const auto mark = print ^ (std::size_t{m.tenant} + 1) * 0x9e3779b97f4a7c15U;
-        const auto admission = gate_->admit(now_, m.id, subject_of(m), m.body->size(), mark, s.again);
-        // Pauses are told in whole milliseconds: one that is rounded down would be too early.
-        if (!admission.admitted) return client->answer({Reply::refused, std::ceil(admission.pause_ms), 0});
-        if (admission.deadline_ms > 0) s.due = std::min(s.due, now_ + admission.deadline_ms);
-    }
     m.due_wall = s.due + wall_offset_;
     candidate.client = s.client;
+    candidate.came = s.came;
+    candidate.again = s.again;
+    candidate.trace = std::move(s.trace);
     Arrival arrival;
     arrival.id = m.id;
     arrival.message_class = m.message_class;
@@ -187,28 +237,34 @@
     for (auto& [id, candidate] : std::exchange(candidates_, {})) {
         const auto client = candidate.client.lock();
         const auto name = candidate.message.name;
+        if (observer_ != nullptr) candidate.message.mark = observer_->begins(now_, id, seen_of(candidate));
         if (!client) {
-            if (gate_) gate_->undo(id);
-            withdrawn_.insert(id);
-            tell(Withdrawn{id});
-        } else if (ledger_.take(std::move(candidate.message)) == nullptr) {
-            if (gate_) gate_->undo(id);
+            withdraw(id, Refusal::gone);
+        } else if (const auto* const m = ledger_.take(std::move(candidate.message)); m == nullptr) {
             client->answer({Reply::full, full_pause_ms, 0});
-            withdrawn_.insert(id);
-            tell(Withdrawn{id});
+            withdraw(id, Refusal::journal);
         } else {
             remember(name, candidate.print);
             client->answer({Reply::taken, 0, id});
+            if (observer_ != nullptr) observer_->taken(now_, *m);
         }
     }
 }
 
+void Dispatcher::withdraw(MessageId id, Refusal why) {
+    if (gate_) gate_->undo(id);
+    if (observer_ != nullptr) observer_->abandoned(now_, id, why);
+    withdrawn_.insert(id);
+    tell(Withdrawn{id});
+}
+
 // The 202 found no client any more: the message is withdrawn as if it had never been handed in.
 void Dispatcher::on(const Untold& untold) {
     auto* const m = ledger_.find(untold.id);
     if (m == nullptr || m->ending != Ending::none) return;
     ledger_.end(*m, Ending::done, 0);
     if (gate_) gate_->undo(untold.id);
+    if (observer_ != nullptr) observer_->abandoned(now_, untold.id, Refusal::gone);
     tell(Withdrawn{untold.id});
 }
 
@@ -226,10 +282,13 @@
     outcome.over = true;
     if (auto* const m = ledger_.find(v.id); m != nullptr) {
         outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
+        if (observer_ != nullptr) observer_->landed(now_, *m, v);
         ledger_.outcome(*m, v.result);
         auto* const left = ledger_.find(v.id);
         if (left != nullptr && outcome.over) {
             let_go(v.id);  // nothing where it has ended before
+            if (observer_ != nullptr && left->ending == Ending::none)
+                observer_->ended(now_, *left, Ending::done, 0);
             ledger_.end(*left, Ending::done, 0);
         } else if (left != nullptr && gate_ && !left->flying &&
                    gate_->spent(subject_of(*left), left->attempts)) {
@@ -238,6 +297,8 @@
         }
     }
     tell(outcome);
+    if (observer_ != nullptr && !outcome.over)
+        observer_->sleeps(now_, v.id, sender_.sleeps_until(v.id), v.wait_ms > 0);
 }
 
 void Dispatcher::on(const Listed& listed) {
@@ -298,6 +359,8 @@
 void Dispatcher::do_action(const Refuse& refuse) {
     if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
         if (gate_) gate_->undo(refuse.id);
+        if (observer_ != nullptr)
+            observer_->refused(now_, seen_of(waiting->second), Refusal::module, {}, refuse.pause_ms);
         if (const auto client = waiting->second.client.lock())
             client->answer({Reply::refused, refuse.pause_ms, 0});
         coming_.erase(waiting->second.message.name);
@@ -315,10 +378,18 @@
     if (m.ending != Ending::none) return;
     const auto again = static_cast<std::uint32_t>(std::clamp(again_ms, 0.0, 1e6));
     let_go(m.id);
+    if (observer_ != nullptr) observer_->ended(now_, m, ending, again);
     ledger_.end(m, ending, again);
     outbox_.tell({m.id, m.name, ending, again});
 }
 
+std::map<std::uint16_t, double> Dispatcher::windows() const {
+    std::map<std::uint16_t, double> sums;
+    for (const auto& [address, line] : hosts_)
+        if (line.state == ListingState::ready) sums[line.destination] += sender_.window(line.endpoint);
+    return sums;
+}
+
 void Dispatcher::do_action(const SetTimer& timer) { timers_.emplace(timer.at, timer.timer); }
 void Dispatcher::do_action(const Close& close) { upstream_.close_idle(close.endpoint); }
 void Dispatcher::do_action(const Log& log) { runtime::log("module", "%s", log.text.c_str()); }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dispatch/ledger.hpp"
+#include "dispatch/observer.hpp"
 #include "dispatch/types.hpp"
 #include "plan/gate.hpp"
 #include "runtime/mailbox.hpp"
@@ -22,6 +23,10 @@
 
     // From now on the operators' plan narrows what comes in and goes out. What is held stays counted.
     void plan_by(std::shared_ptr<const plan::Plan> plan);
+    // Who is told of messages' lives from now on; nullptr: nobody.
+    void watch_by(Observer* observer) { observer_ = observer; }
+    // The calls at a time that the module's windows allow, by destination.
+    std::map<std::uint16_t, double> windows() const;
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
     void recover(const Listed& known);
     runtime::Task<void> run();
@@ -34,6 +39,9 @@
         Owed message;
         std::weak_ptr<Client> client;
         std::size_t print = 0;
+        Time came = 0;
+        bool again = false;
+        Trace trace;
     };
 
     void turn();
@@ -69,6 +77,12 @@
     void take_on_candidates();
     // Of what a client handed in, but for its id: tells the same request again from another one.
     static std::size_t print_of(const Submission& submission);
+    static Seen seen_of(const Submission& submission);
+    static Seen seen_of(const Candidate& candidate);
+    void refuse(const Submission& submission, Client& client, Reply reply, Refusal by, double pause_ms,
+                std::string_view rule = {});
+    // Not taken on after all, and the module is told.
+    void withdraw(MessageId id, Refusal why);
     void remember(const std::string& name, std::size_t print);
     void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
@@ -89,6 +103,7 @@
     Ledger& ledger_;
     Upstream& upstream_;
     Outbox& outbox_;
+    Observer* observer_ = nullptr;
     Time now_ = 0;
     double wall_offset_ = 0;  // wall clock less steady clock
     std::vector<Action> actions_;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -68,15 +68,17 @@
 }
 
 std::string accept_record(const Owed& m) {
-    return Writer(Kind::accept, m.id)
-        .number(m.due_wall)
+    Writer record(Kind::accept, m.id);
+    record.number(m.due_wall)
         .number(m.message_class)
         .number(m.tenant)
         .number(m.destination)
         .text(m.name)
         .text(m.key)
-        .text(*m.body)
-        .take();
+        .text(*m.body);
+    // Versions before read up to here and pass over what follows.
+    if (!m.mark.empty()) record.text(m.mark);
+    return record.take();
 }
 
 std::string attempt_record(MessageId id, int attempts, double wall, std::uint16_t zone) {
@@ -131,7 +133,9 @@
         m.key = in.text();
         m.body = std::make_shared<const std::string>(in.text());
         m.bytes = journal::Log::framed(record.size());
-        if (in.good()) into[id] = std::move(m);
+        if (!in.good()) return;
+        m.mark = in.text();  // empty where there is none, or no whole one
+        into[id] = std::move(m);
         return;
     }
     const auto found = into.find(id);
@@ -173,6 +177,7 @@
     last_id_ = highest;
     for (auto& [id, m] : messages_) {
         // An attempt without an outcome was out when the process ended: it may have run.
+        m.cut = m.flying;
         if (m.flying) note_risk(m);
         live_ += m.bytes;
         if (m.ending == Ending::none) names_.insert(m.name);
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -18,11 +18,13 @@
     std::shared_ptr<const std::string> body;
     int attempts = 0;
     bool flying = false, may_have_run = false;
+    bool cut = false;                      // its latest attempt was out when an earlier life ended
     double sent_wall = 0, risky_wall = 0;  // of the latest attempt; of the first that may have run
     std::uint16_t sent_zone = 0, risky_zone = 0;
     Ending ending = Ending::none;
     std::uint32_t again_ms = 0;
     std::size_t bytes = 0;  // that it takes in the journal
+    std::string mark;       // an observer's, kept with the message; empty: none
 };
 
 inline plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -9,7 +9,7 @@
 
 #include "brasslift/sender.hpp"
 #include "plan/plan.hpp"
-#include "runtime/scheduler.hpp"
+#include "runtime/socket.hpp"
 
 namespace brasslift::dispatch {
 
@@ -35,12 +35,19 @@
     virtual void answer(const Answer& answer) = 0;
 };
 
+// What one hop tells the next of the trace that a message belongs to; opaque to the core.
+struct Trace {
+    std::string parent, state;
+};
+
 struct Submission {
     std::string name, key;  // the client's id and idempotency key, passed on unchanged
     std::uint16_t message_class = 0, tenant = 0, destination = 0;
     Time due = 0;
     std::shared_ptr<const std::string> body;
     bool again = false;  // the client says that it was refused before
+    Time came = 0;
+    Trace trace;  // the client's
     std::weak_ptr<Client> client;
 };
 
@@ -55,6 +62,7 @@
     std::shared_ptr<const std::string> body;
     int attempt = 0;
     Time due = 0, expires = 0, start_by = 0;
+    Trace trace;  // of this attempt, for the host; empty: none is passed on
 };
 
 // Messages that travel together to one upstream host.
@@ -65,6 +73,9 @@
     std::shared_ptr<const plan::PoolRule> pool;  // whose connection settings hold; none: the dispatcher's own
 };
 
+// How far an attempt came when it ended.
+enum class Progress : std::uint8_t { not_connected, connected, partly_written, fully_written, answered };
+
 struct Verdict {
     MessageId id = 0;
     EndpointId host;
@@ -73,6 +84,12 @@
     bool over = false;  // the destination says that nothing more is owed
     double elapsed_ms = 0, wait_ms = 0;
     Report report;
+    // For whoever watches: where it was sent, how far it came, the answer's status (0: none) and how many
+    // messages shared the call.
+    runtime::Address address;
+    Progress progress = Progress::not_connected;
+    int status = 0;
+    std::size_t together = 1;
 };
 
 struct Listed {
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -60,6 +60,15 @@
     return -1;
 }
 
+// As it came; two parents are none, and several lines of state are one.
+dispatch::Trace trace_of(const http::Headers& headers) {
+    dispatch::Trace trace;
+    if (headers.count("traceparent") != 1) return trace;
+    trace.parent = *headers.find("traceparent");
+    trace.state = headers.joined("tracestate");
+    return trace;
+}
+
 std::string seconds(double ms) {
     char text[32];
     std::snprintf(text, sizeof text, "%.3f", std::max(0.0, ms) / 1000);
@@ -68,7 +77,7 @@
 
 }  // namespace
 
-Read read_stream(http::Message& request, const config::Config& config, Time now) {
+Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced) {
     std::string_view path = request.target;
     path = path.substr(0, path.find('?'));
     if (path.empty() || path.front() != '/') return 400;
@@ -99,6 +108,8 @@
     s.destination = static_cast<std::uint16_t>(destination);
     s.due = now + span;
     s.again = h.count("Req-Retry") > 0;
+    s.came = now;
+    if (traced) s.trace = trace_of(h);
     s.body = std::make_shared<const std::string>(std::move(request.body));
     return s;
 }
@@ -290,7 +301,7 @@
     auto request = c.parser.take();
     close = !request.keeps_alive() || winding_down_;
     if (request.target == "/up") co_return co_await write_all(c, page(request, close));
-    auto read = read_stream(request, config_, scheduler_.now());
+    auto read = read_stream(request, config_, scheduler_.now(), traced_);
     if (const int* const status = std::get_if<int>(&read)) {
         close = true;  // nothing that comes behind a faulty request is looked at
         co_return co_await write_all(c, reply(*status, close));
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -17,7 +17,8 @@
 
 // A stream as its request asks for it, or the status of its local reply.
 using Read = std::variant<dispatch::Submission, int>;
-Read read_stream(http::Message& request, const config::Config& config, Time now);
+// `traced`: with the trace that its client began.
+Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced = false);
 
 class Server {
 public:
@@ -36,6 +37,7 @@
     // Told of each message whose 202 could not be written.
     void untold_to(std::function<void(MessageId)> untold) { untold_ = std::move(untold); }
     void ready(bool is) { ready_ = is; }
+    void trace(bool on) { traced_ = on; }
     runtime::Task<void> run();
     // From now on every answer says that its connection closes.
     void wind_down() { winding_down_ = true; }
@@ -70,7 +72,7 @@
     std::function<void(MessageId)> untold_;
     std::size_t open_ = 0, held_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
-    bool ready_ = false, winding_down_ = false;
+    bool ready_ = false, winding_down_ = false, traced_ = false;
 };
 
 }  // namespace brasslift::downstream
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -20,6 +20,8 @@
     // The first of that name, whatever its case; nullptr if there is none.
     const std::string* find(std::string_view name) const;
     std::size_t count(std::string_view name) const;
+    // All of that name as one list, in their order.
+    std::string joined(std::string_view name) const;
     // Whether a comma-separated header holds the token.
     bool has_token(std::string_view name, std::string_view token) const;
     void clear() { lines_.clear(); }
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -53,6 +53,13 @@
         lines_.begin(), lines_.end(), [&](const auto& line) { return same_name(line.first, name); }));
 }
 
+std::string Headers::joined(std::string_view name) const {
+    std::string all;
+    for (const auto& [key, value] : lines_)
+        if (same_name(key, name)) (all += all.empty() ? "" : ",") += value;
+    return all;
+}
+
 bool Headers::has_token(std::string_view name, std::string_view token) const {
     for (const auto& [key, value] : lines_) {
         if (!same_name(key, name)) continue;
--- a/src/lang/bind.cpp
+++ b/src/lang/bind.cpp
@@ -1,5 +1,7 @@
 #include "lang/bind.hpp"
 
+#include <arpa/inet.h>
+
 #include <google/protobuf/descriptor.h>
 
 #include <algorithm>
@@ -127,6 +129,18 @@
                 return std::nullopt;
             return Misread{shown(text, 80) + " is no label", "write it as \"key=value\""};
         }
+        case config::v1::ADDRESS: {
+            const auto colon = text.rfind(':');
+            in_addr host{};
+            unsigned port = 0;
+            const auto* const end = text.data() + text.size();
+            if (colon != std::string::npos &&
+                ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &host) == 1) {
+                const auto [at, fault] = std::from_chars(text.data() + colon + 1, end, port);
+                if (fault == std::errc{} && at == end && port > 0 && port < 65536) return std::nullopt;
+            }
+            return Misread{shown(text, 80) + " is no address", "write it as \"127.0.0.1:4318\""};
+        }
         case config::v1::PATH:
             if (!text.empty()) return std::nullopt;
             return Misread{"an empty path", "write the file's path, relative to this file"};
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -38,6 +38,7 @@
     limits();
     policies();
     bounds();
+    telemetry();
     if (findings_.any_errors()) return std::move(rules_);  // what would be told now might follow from them
     unused();
     overlaps();
--- a/src/lang/compiler.hpp
+++ b/src/lang/compiler.hpp
@@ -1,5 +1,6 @@
 // Judges a bound configuration and turns it into rules; used by compile() alone. compile.cpp has
-// destinations, pools and routes, compile_limits.cpp limits, policies and bounds.
+// destinations, pools and routes, compile_limits.cpp limits, policies and bounds, compile_telemetry.cpp
+// telemetry.
 #pragma once
 
 #include <algorithm>
@@ -116,6 +117,9 @@
 
     void bounds();
 
+    void telemetry();
+    void headers(const v1::Telemetry& t, plan::TelemetryRule& rule);
+
     void unused();
 
     // Routes that never hold, and pairs of which neither comes first.
--- a/src/lang/meaning.cpp
+++ b/src/lang/meaning.cpp
@@ -23,11 +23,18 @@
     return {};
 }
 
+// Tells one secret from another without saying either.
+std::string secret(const std::string& text) {
+    const auto print = std::hash<std::string>()("brasslift secret\n" + text) & 0xffff;
+    return quote("(secret " + std::to_string(print) + ")");
+}
+
 std::string single(const pb::Message& m, const pb::FieldDescriptor& field, int index) {
     const auto* const r = m.GetReflection();
     const bool many = field.is_repeated();
     switch (field.cpp_type()) {
         case pb::FieldDescriptor::CPPTYPE_STRING:
+            if (rule_of(field).secret()) return secret(r->GetString(m, &field));
             return quote(
                 canonical(field, many ? r->GetRepeatedString(m, &field, index) : r->GetString(m, &field)));
         case pb::FieldDescriptor::CPPTYPE_ENUM:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <sys/signalfd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -14,6 +15,7 @@
 #include "cluster/notices.hpp"
 #include "commands/config_command.hpp"
 #include "commands/platform.hpp"
+#include "commands/watch.hpp"
 #include "config/config.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/ledger.hpp"
@@ -29,6 +31,8 @@
 
 // After SIGTERM clients still come for a while and the kill is 3.7 s away at the soonest.
 constexpr double take_on_ms = 600, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
+// By then telemetry has had its last try, whatever became of it.
+constexpr double untold_ms = 3600;
 // The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
 constexpr double fresh_list_ms = 100;
 // The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
@@ -80,7 +84,7 @@
 // both stay as they were.
 void reload(const config::Config& running, const std::string& operators, dispatch::Dispatcher& dispatcher,
             cluster::Cluster& cluster, cluster::Notices& notices, downstream::Server& server,
-            upstream::Pool& pool) {
+            upstream::Pool& pool, commands::Watch& watch) {
     try {
         const auto fresh = config::load_config();
         const Sender usable(fresh.settings, fresh.seed);  // throws where the module could not work with them
@@ -92,6 +96,7 @@
         notices.move_to(*discovery);
         server.limit(downstream_limits(fresh, bounds_of(plan)));
         pool.keep_at_most(idle_limit(fresh, bounds_of(plan)));
+        if (!operators.empty()) watch.follow(&plan->rules());
         if (plan) dispatcher.mailbox().put(dispatch::Planned{std::move(plan)});
         if (fresh.classes != running.classes || fresh.tenants != running.tenants ||
             fresh.listen != running.listen)
@@ -105,7 +110,8 @@
 runtime::Task<void> until_stopped(runtime::Scheduler& scheduler, runtime::Waker& waker,
                                   const Signals& signals, std::function<void()> reload,
                                   dispatch::Dispatcher& dispatcher, dispatch::Ledger& ledger,
-                                  cluster::Notices& notices, downstream::Server& server) {
+                                  cluster::Notices& notices, downstream::Server& server,
+                                  commands::Watch& watch) {
     for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
         signal = signals.next();
         if (signal == SIGHUP) reload();
@@ -114,6 +120,7 @@
     const Time told = scheduler.now();
     runtime::log("main", "told to stop: %zu messages are owed", ledger.held());
     server.wind_down();
+    watch.hurry(told + untold_ms, false);
     dispatcher.mailbox().put(dispatch::Stop{told + last_call_ms});
     co_await runtime::sleep_until(scheduler, told + take_on_ms);
     server.stop_listening();
@@ -125,6 +132,10 @@
         co_await runtime::sleep_until(scheduler, scheduler.now() + poll_ms);
     }
     runtime::log("main", "stopped: %zu messages are left to the next start", ledger.held());
+    watch.hurry(told + untold_ms, true);
+    while (!watch.done() && scheduler.now() < told + untold_ms)
+        co_await runtime::sleep_until(scheduler, std::min(scheduler.now() + poll_ms, told + untold_ms));
+    if (!watch.done()) runtime::log("main", "the collector did not take %zu items in time", watch.waiting());
     scheduler.stop();
 }
 
@@ -162,6 +173,9 @@
     server.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
 
+    commands::Watch watch({scheduler, config, dispatcher, ledger, log, server, pool}, BRASSLIFT_VERSION);
+    watch.follow(plan ? &plan->rules() : nullptr);
+
     if (!server.listen(*listen)) throw std::runtime_error("cannot listen on " + config.listen);
     const auto known = cluster::read_news(config.known, config);
     auto first = known ? cluster.apply(*known) : dispatch::Listed{};
@@ -177,9 +191,9 @@
     scheduler.spawn(notices.run());
     server.ready(true);  // all that is owed is known; connections that came meanwhile wait in the queue
     scheduler.spawn(server.run());
-    const auto reread = [&] { reload(config, operators, dispatcher, cluster, notices, server, pool); };
+    const auto reread = [&] { reload(config, operators, dispatcher, cluster, notices, server, pool, watch); };
     scheduler.spawn(
-        until_stopped(scheduler, signalled, signals, reread, dispatcher, ledger, notices, server));
+        until_stopped(scheduler, signalled, signals, reread, dispatcher, ledger, notices, server, watch));
     runtime::log("main", "%s serves %s; %zu messages were owed", config.name.c_str(), config.listen.c_str(),
                  ledger.held());
     scheduler.run();
--- a/src/plan/gate.cpp
+++ b/src/plan/gate.cpp
@@ -63,7 +63,7 @@
     Admission admission;
     if (route != none)
         if (const auto& rule = rules.routes[static_cast<std::size_t>(route)]; rule.refuse_pause_ms)
-            return {false, *rule.refuse_pause_ms, 0};
+            return {false, *rule.refuse_pause_ms, 0, &rule.name};
     found_.clear();
     plan_->limits(subject, route, found_);
     charges_.clear();
@@ -72,10 +72,12 @@
         const Charge charge{limit, plan_->key(limit, subject, route),
                             static_cast<std::uint32_t>(plan_->lane(limit, subject, route))};
         auto* const count = count_of(now, limit, charge.key);
-        if (count == nullptr) return {false, no_count_pause_ms, 0};
+        const auto& name = rules.limits[static_cast<std::size_t>(limit)].name;
+        if (count == nullptr) return {false, no_count_pause_ms, 0, &name};
         const auto look = count->look(now, charge.lane, bytes, print);
         charges_.push_back(charge);
         looks_.push_back(look);
+        if (!look.admitted && admission.admitted) admission.by = &name;
         admission.admitted = admission.admitted && look.admitted;
     }
     // All limits or none: each that refuses gives a turn, and the last of those is when it is worth coming.
--- a/src/plan/gate.hpp
+++ b/src/plan/gate.hpp
@@ -20,8 +20,9 @@
 
     struct Admission {
         bool admitted = true;
-        double pause_ms = 0;     // where it is not: after which to come again
-        double deadline_ms = 0;  // the policies' narrowest, from now; 0: none
+        double pause_ms = 0;              // where it is not: after which to come again
+        double deadline_ms = 0;           // the policies' narrowest, from now; 0: none
+        const std::string* by = nullptr;  // the route or limit that refused it; lives as long as the plan
     };
     // A message that is handed in. `print` tells one client's message from another's; `again`: its client
     // says that it was refused before. Where it is admitted it is counted under `id` until release or undo.
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -91,12 +91,31 @@
     std::size_t limiter_keys = 20000, bookings = 1024;
 };
 
+// What is told to a collector, and how; absent: nothing is.
+struct TelemetryRule {
+    std::string collector;  // "127.0.0.1:4318"
+    std::vector<std::pair<std::string, std::string>> headers, resource;
+    bool gzip = true;
+    double timeout_ms = 10000, batch_age_ms = 5000, keep_trying_ms = 300000;
+    std::size_t batch = 512, queue_bytes = 4 << 20;
+    bool traces = true, keep_failed = true, keep_deferred = true;
+    double ratio = 1, keep_longer_ms = 0, shortest_queue_ms = 10;
+    int keep_attempts_above = 3;
+    std::size_t pending_bytes = 2 << 20;
+    bool metrics = true, delta = false;
+    double interval_ms = 10000;
+    std::size_t series = 1000;
+    bool logs = true;
+};
+
 struct Rules {
     std::vector<PoolRule> pools;
     std::vector<RouteRule> routes;
     std::vector<LimitRule> limits;
     std::vector<PolicyRule> policies;
     Bounds bounds;
+    std::optional<TelemetryRule> telemetry;
+    bool json_log = false;
 };
 
 // The classes and tenants that there are, by their place in the dispatcher's settings.
--- a/src/telemetry/delivery.cpp
+++ b/src/telemetry/delivery.cpp
@@ -49,7 +49,7 @@
     double pause = std::min(doubled, settings_.most_pause_ms) * spread(random_);
     // A wait that was told is kept whole; nobody else's clock makes it shorter.
     if (call.retry_after_ms && (call.status == 429 || call.status == 503))
-        pause = std::max(*call.retry_after_ms, 0.0);
+        told_until_ = now + (pause = std::max(*call.retry_after_ms, 0.0));
     ++failures_;
     not_before_ = now + pause;
     return not_before_ > begun_ + settings_.give_up_ms ? Fate::dropped : Fate::again;
--- a/src/telemetry/delivery.hpp
+++ b/src/telemetry/delivery.hpp
@@ -39,6 +39,11 @@
     Fate end(Time now, const CallEnd& call);
     // When the batch may go again, or the next one: a collector's wait holds for whatever comes.
     Time not_before() const { return not_before_; }
+    // Until when a collector's own wait holds; what is sooner is this side's pause alone.
+    Time told_until() const { return told_until_; }
+
+    // Another collector: neither pauses nor waits of the one before bind it.
+    void start_anew() { not_before_ = told_until_ = failures_ = 0; }
 
     // Of spans, points or records: told of in the exporter's own counters.
     std::uint64_t rejected() const { return rejected_; }
@@ -46,7 +51,7 @@
 private:
     DeliverySettings settings_;
     std::mt19937_64 random_;
-    Time begun_ = 0, not_before_ = 0;
+    Time begun_ = 0, not_before_ = 0, told_until_ = 0;
     int failures_ = 0;
     std::uint64_t rejected_ = 0;
 };
--- a/src/telemetry/encode.cpp
+++ b/src/telemetry/encode.cpp
@@ -1,81 +1,8 @@
 #include "telemetry/encode.hpp"
 
-#include <algorithm>
-#include <cstring>
+#include "telemetry/backwards.hpp"
 
 namespace brasslift::telemetry {
-namespace {
-
-enum class Wire : std::uint32_t { varint = 0, fixed64 = 1, bytes = 2 };
-
-// A buffer that is filled from its end. What is written first comes last.
-class Backwards {
-public:
-    explicit Backwards(std::size_t guess) : buffer_(guess, '\0'), at_(guess) {}
-
-    std::size_t size() const { return buffer_.size() - at_; }
-    std::string take() {
-        buffer_.erase(0, at_);
-        return std::move(buffer_);
-    }
-
-    void raw(const void* bytes, std::size_t size) {
-        make_room(size);
-        at_ -= size;
-        std::memcpy(buffer_.data() + at_, bytes, size);
-    }
-    void varint(std::uint64_t value) {
-        char bytes[10];
-        std::size_t size = 0;
-        do {
-            bytes[size++] = static_cast<char>((value & 0x7f) | (value > 0x7f ? 0x80 : 0));
-            value >>= 7;
-        } while (value != 0);
-        raw(bytes, size);
-    }
-    void tag(std::uint32_t field, Wire wire) { varint(field << 3 | static_cast<std::uint32_t>(wire)); }
-
-    // Fields that hold their type's zero are not written, as the format has it.
-    void number(std::uint32_t field, std::uint64_t value) {
-        if (value == 0) return;
-        varint(value);
-        tag(field, Wire::varint);
-    }
-    void fixed(std::uint32_t field, std::uint64_t value, bool even_zero = false) {
-        if (value == 0 && !even_zero) return;
-        char bytes[8];  // little-endian, whatever the machine
-        for (std::size_t i = 0; i < 8; ++i) bytes[i] = static_cast<char>(value >> (8 * i));
-        raw(bytes, sizeof bytes);
-        tag(field, Wire::fixed64);
-    }
-    void text(std::uint32_t field, std::string_view value, bool even_empty = false) {
-        if (value.empty() && !even_empty) return;
-        raw(value.data(), value.size());
-        varint(value.size());
-        tag(field, Wire::bytes);
-    }
-    template <std::size_t Size>
-    void id(std::uint32_t field, const std::array<std::uint8_t, Size>& value) {
-        raw(value.data(), Size);
-        varint(Size);
-        tag(field, Wire::bytes);
-    }
-    // Closes what was written since the buffer had that size into one field.
-    void close(std::uint32_t field, std::size_t since) {
-        varint(size() - since);
-        tag(field, Wire::bytes);
-    }
-
-private:
-    void make_room(std::size_t size) {
-        if (size <= at_) return;
-        const auto more = std::max(size, buffer_.size() + 64);
-        buffer_.insert(0, more, '\0');
-        at_ += more;
-    }
-    std::string buffer_;
-    std::size_t at_;
-};
 
 void put(Backwards& out, const Value& value) {
     struct Put {
@@ -90,11 +17,7 @@
             out.varint(static_cast<std::uint64_t>(number));
             out.tag(3, Wire::varint);
         }
-        void operator()(double number) const {
-            std::uint64_t bits = 0;
-            std::memcpy(&bits, &number, sizeof bits);
-            out.fixed(4, bits, true);
-        }
+        void operator()(double number) const { out.real(4, number); }
     };
     std::visit(Put{out}, value);
 }
@@ -109,7 +32,10 @@
     }
 }
 
-bool any(const SpanId& id) {
+namespace {
+
+template <std::size_t Size>
+bool any(const std::array<std::uint8_t, Size>& id) {
     return std::any_of(id.begin(), id.end(), [](auto b) { return b != 0; });
 }
 
@@ -146,8 +72,71 @@
     out.close(2, whole);
 }
 
+void put(Backwards& out, const LogRecord& record) {
+    const auto whole = out.size();
+    out.fixed(11, record.observed);
+    if (any(record.span)) out.id(10, record.span);
+    if (any(record.trace)) out.id(9, record.trace);
+    put(out, 6, record.attributes);
+    const auto body = out.size();
+    out.text(1, record.body, true);
+    out.close(5, body);
+    out.text(3, record.severity == Severity::warn ? "WARN" : "INFO");
+    out.number(2, static_cast<std::uint64_t>(record.severity));
+    out.fixed(1, record.at);
+    out.close(2, whole);
+}
+
+// Resource and scope round items of that many bytes: spans, metrics and log records are wrapped alike.
+std::string head_of(const Source& source, std::size_t items) {
+    Backwards scope(128);
+    scope.text(2, source.version);
+    scope.text(1, source.scope);
+    scope.close(1, 0);
+    Backwards out(256 + source.resource.size() * 64);
+    const auto varint_size = [](std::size_t n) {
+        std::size_t size = 1;
+        for (; n > 0x7f; n >>= 7) ++size;
+        return size;
+    };
+    const auto scope_size = scope.size() + items;
+    out.raw(scope.written().data(), scope.size());
+    out.varint(scope_size);
+    out.tag(2, Wire::bytes);
+    const auto scopes = out.size();
+    put(out, 1, source.resource);
+    out.close(1, scopes);
+    const auto inner = out.size() - scopes + 1 + varint_size(scope_size) + scope_size;
+    out.varint(inner);
+    out.tag(1, Wire::bytes);
+    return out.take();
+}
+
 }  // namespace
 
+std::string encode_item(const Span& span) {
+    static Backwards out(4096);  // one thread encodes
+    out.clear();
+    put(out, span);
+    return std::string(out.written());
+}
+
+std::string encode_item(const LogRecord& record) {
+    static Backwards out(1024);
+    out.clear();
+    put(out, record);
+    return std::string(out.written());
+}
+
+std::string request_of(const Source& source, std::span<const std::string> items) {
+    std::size_t size = 0;
+    for (const auto& item : items) size += item.size();
+    auto request = head_of(source, size);
+    request.reserve(request.size() + size);
+    for (const auto& item : items) request += item;
+    return request;
+}
+
 std::string encode(const Source& source, std::span<const Span> spans) {
     constexpr std::size_t usual_span = 320;
     Backwards out(256 + spans.size() * usual_span);
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -48,6 +48,8 @@
 
 enum class Temporality : std::uint8_t { delta = 1, cumulative = 2 };
 
+using SeriesKey = std::vector<std::pair<std::string, std::string>>;
+
 // Series of one instrument by their attributes. Past `most_series` values go into one series that carries
 // `otel.metric.overflow`, so that nothing is uncounted.
 template <class Point>
@@ -55,7 +57,7 @@
 public:
     explicit Series(std::size_t most_series) : most_(most_series) {}
 
-    using Key = std::vector<std::pair<std::string, std::string>>;
+    using Key = SeriesKey;
     Point& at(const Key& key) {
         if (const auto found = points_.find(key); found != points_.end()) return found->second;
         // One place is the overflow's own.
--- a/src/telemetry/sampling.cpp
+++ b/src/telemetry/sampling.cpp
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace brasslift::telemetry {
+namespace {
+
+constexpr std::size_t span_overhead = 48;  // of a text and its place on the heap
+
+}  // namespace
 
 bool sampled(const std::optional<Context>& parent, const TraceId& trace, double ratio) {
     if (parent) return parent->sampled;
@@ -24,13 +29,13 @@
             std::erase_if(*order, [&](auto m) { return open_.count(m) == 0; });
 }
 
-void Pending::add(std::uint64_t message, Span span) {
+void Pending::add(std::uint64_t message, std::string span) {
     const auto found = open_.find(message);
     if (found == open_.end() || found->second.lost) {
         ++dropped_;
         return;
     }
-    const auto size = span.bytes();
+    const auto size = span.size() + span_overhead;
     found->second.spans.push_back(std::move(span));
     found->second.bytes += size;
     bytes_ += size;
@@ -68,52 +73,20 @@
     while (bytes_ > most_bytes_ && (shed_from(plain_) || shed_from(chosen_))) {}
 }
 
-std::vector<Span> Pending::close(std::uint64_t message, const Ended& ended, const KeepRule& rule) {
+void Pending::limit(std::size_t most_bytes) {
+    most_bytes_ = most_bytes;
+    shed();
+}
+
+std::optional<std::vector<std::string>> Pending::close(std::uint64_t message, const Ended& ended,
+                                                       const KeepRule& rule) {
     const auto found = open_.find(message);
-    if (found == open_.end()) return {};
+    if (found == open_.end()) return std::nullopt;
     auto open = std::move(found->second);
     open_.erase(found);
     bytes_ -= open.bytes;
-    if (!open.sampled && !rule.keeps(ended)) return {};
+    if (open.lost || (!open.sampled && !rule.keeps(ended))) return std::nullopt;
     return std::move(open.spans);
 }
 
-void Queue::put(std::vector<Span> spans, bool sampled) {
-    for (auto& span : spans) {
-        const auto size = span.bytes();
-        (sampled ? sampled_ : plain_).push_back({next_++, size, std::move(span)});
-        bytes_ += size;
-        ++size_;
-    }
-    take_room();
-}
-
-void Queue::take_room() {
-    while (size_ > 0 && (bytes_ > most_bytes_ || size_ > most_spans_)) {
-        auto& from = plain_.empty() ? sampled_ : plain_;
-        bytes_ -= from.front().bytes;
-        from.pop_front();
-        --size_;
-        ++dropped_;
-    }
-}
-
-std::vector<Span> Queue::take(std::size_t most, std::size_t bytes) {
-    std::vector<Span> batch;
-    std::size_t sum = 0;
-    while (size_ > 0 && batch.size() < most) {
-        auto& from = sampled_.empty()                                  ? plain_
-                     : plain_.empty()                                  ? sampled_
-                     : plain_.front().number < sampled_.front().number ? plain_
-                                                                       : sampled_;
-        if (!batch.empty() && sum + from.front().bytes > bytes) break;
-        sum += from.front().bytes;
-        bytes_ -= from.front().bytes;
-        batch.push_back(std::move(from.front().span));
-        from.pop_front();
-        --size_;
-    }
-    return batch;
-}
-
 }  // namespace brasslift::telemetry
--- a/src/telemetry/sampling.hpp
+++ b/src/telemetry/sampling.hpp
@@ -1,8 +1,10 @@
-// Which traces are kept, and the queue of what waits to be exported. Pure: the time is told.
+// Which traces are kept, and the spans of those of which that is not known yet. Pure.
 #pragma once
 
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -39,9 +41,12 @@
     explicit Pending(std::size_t most_bytes) : most_bytes_(most_bytes) {}
 
     void open(std::uint64_t message, bool sampled);
-    void add(std::uint64_t message, Span span);
-    // What is kept of a message that has ended; empty where nothing is.
-    std::vector<Span> close(std::uint64_t message, const Ended& ended, const KeepRule& rule);
+    // A span as encode_item() writes it.
+    void add(std::uint64_t message, std::string span);
+    // What is kept of a message that has ended; nothing where it is not kept or has lost spans.
+    std::optional<std::vector<std::string>> close(std::uint64_t message, const Ended& ended,
+                                                  const KeepRule& rule);
+    void limit(std::size_t most_bytes);
 
     std::size_t bytes() const { return bytes_; }
     std::size_t messages() const { return open_.size(); }
@@ -51,7 +56,7 @@
     struct Open {
         bool sampled = false;
         bool lost = false;  // its spans went for want of room: what is left would be no whole trace
-        std::vector<Span> spans;
+        std::vector<std::string> spans;
         std::size_t bytes = 0;
     };
     void shed();
@@ -63,32 +68,4 @@
     std::uint64_t dropped_ = 0;
 };
 
-// Finished spans that wait for the exporter, in the order in which they came. Full, the oldest of those that
-// the ratio did not choose go first, then the oldest; what goes is counted.
-class Queue {
-public:
-    Queue(std::size_t most_bytes, std::size_t most_spans)
-        : most_bytes_(most_bytes), most_spans_(most_spans) {}
-
-    void put(std::vector<Span> spans, bool sampled);
-    // The next batch: the oldest first, `most` spans and `bytes` at most, at least one where there is one.
-    std::vector<Span> take(std::size_t most, std::size_t bytes);
-
-    std::size_t size() const { return size_; }
-    std::size_t bytes() const { return bytes_; }
-    std::uint64_t dropped() const { return dropped_; }
-
-private:
-    struct Entry {
-        std::uint64_t number = 0;
-        std::size_t bytes = 0;
-        Span span;
-    };
-    void take_room();
-
-    std::size_t most_bytes_, most_spans_, bytes_ = 0, size_ = 0;
-    std::uint64_t next_ = 0, dropped_ = 0;
-    std::deque<Entry> sampled_, plain_;
-};
-
 }  // namespace brasslift::telemetry
--- a/src/telemetry/trace.cpp
+++ b/src/telemetry/trace.cpp
@@ -1,6 +1,8 @@
 #include "telemetry/trace.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 
 #include "http/message.hpp"
 
@@ -58,15 +60,19 @@
 
 std::size_t bytes_of(const std::vector<Attribute>& attributes) {
     std::size_t sum = attributes.capacity() * sizeof(Attribute);
-    for (const auto& a : attributes) {
-        sum += a.key.capacity();
+    for (const auto& a : attributes)
         if (const auto* const text = std::get_if<std::string>(&a.value)) sum += text->capacity();
-    }
     return sum;
 }
 
 }  // namespace
 
+std::string_view interned(std::string_view text) {
+    static std::set<std::string, std::less<>> texts;
+    const auto found = texts.find(text);
+    return found != texts.end() ? *found : *texts.emplace(text).first;
+}
+
 std::optional<Context> read_traceparent(std::string_view header) {
     constexpr std::size_t length = 55;  // of version 00
     header = http::trimmed(header);
@@ -85,6 +91,17 @@
     return context;
 }
 
+std::string hex_of(const TraceId& id) {
+    std::string text;
+    write_id(id, text);
+    return text;
+}
+std::string hex_of(const SpanId& id) {
+    std::string text;
+    write_id(id, text);
+    return text;
+}
+
 std::string write_traceparent(const Context& context) {
     std::string text = "00-";
     write_id(context.trace, text);
--- a/src/telemetry/trace.hpp
+++ b/src/telemetry/trace.hpp
@@ -33,6 +33,8 @@
 // goes.
 std::optional<Context> read_traceparent(std::string_view header);
 std::string write_traceparent(const Context& context);
+std::string hex_of(const TraceId& id);
+std::string hex_of(const SpanId& id);
 // What may be passed on of a tracestate: well-formed members, each key once, within the bounds; empty where
 // the header is not well-formed as a whole.
 std::string read_tracestate(std::string_view header);
@@ -49,10 +51,13 @@
 };
 
 using Value = std::variant<std::string, std::int64_t, double, bool>;
+// Keys are the conventions' and outlive whatever carries them; a key from elsewhere is interned first.
 struct Attribute {
-    std::string key;
+    std::string_view key;
     Value value;
 };
+// The same text for as long as the process lives; for the few keys that settings bring.
+std::string_view interned(std::string_view text);
 
 // Times are nanoseconds of the Unix epoch.
 struct SpanEvent {
--- a/src/upstream/outcome.hpp
+++ b/src/upstream/outcome.hpp
@@ -10,8 +10,7 @@
 
 namespace brasslift::upstream {
 
-// How far an attempt came when it ended.
-enum class Progress { not_connected, connected, partly_written, fully_written, answered };
+using dispatch::Progress;
 // not_allowed: the rules forbade its first byte; spoilt: an answer came that cannot be read.
 enum class Cause { none, broken, timed_out, not_allowed, spoilt };
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -36,6 +36,7 @@
     http::Parser parser;
     Ended ended;
     Time expires = 0, start_by = 0;
+    runtime::Address address;
     const std::string& pool() const {
         static const std::string own;
         return call.pool ? call.pool->name : own;
@@ -73,6 +74,9 @@
     if (!parcel.key.empty()) headers.emplace_back("Idempotency-Key", parcel.key);
     const auto left = static_cast<long long>(std::ceil(std::max(1.0, parcel.expires - scheduler_.now())));
     headers.emplace_back("Req-Deadline", std::to_string(left) + 'm');
+    // A bulk call's frames have no place for them.
+    if (!parcel.trace.parent.empty()) headers.emplace_back("traceparent", parcel.trace.parent);
+    if (!parcel.trace.state.empty()) headers.emplace_back("tracestate", parcel.trace.state);
     return http::write_request("POST", "/inbox", headers, *parcel.body);
 }
 
@@ -208,6 +212,7 @@
     auto& host = *own;
     Flight flight(scheduler_, std::move(call));
     flight.start_by = runtime::never;
+    flight.address = host.state.address;
     for (const auto& parcel : flight.call.parcels) {
         flight.expires = std::max(flight.expires, parcel.expires);
         if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
@@ -330,14 +335,7 @@
         const auto& parcel = flight.call.parcels[i];
         if (flight.landed[i] || scheduler_.now() < parcel.due) continue;
         flight.landed[i] = true;
-        report_({parcel.id,
-                 flight.call.host,
-                 parcel.attempt,
-                 Result::timeout,
-                 false,
-                 scheduler_.now() - flight.call.decided,
-                 0,
-                 {}});
+        report_(verdict_of(flight, i, {Result::timeout, false, 0}));
     }
 }
 
@@ -354,20 +352,28 @@
     const auto& answer = flight.parser.message();
     auto fates = flight.bulk() ? fates_of(flight.ended, answer, names)
                                : std::vector<Fate>{fate_of(flight.ended, answer.headers)};
-    const double elapsed = scheduler_.now() - flight.call.decided;
     for (std::size_t i = 0; i < fates.size(); ++i) {
         if (flight.landed[i]) continue;
-        const auto& parcel = flight.call.parcels[i];
         flight.landed[i] = true;
-        report_({parcel.id,
-                 flight.call.host,
-                 parcel.attempt,
-                 fates[i].result,
-                 fates[i].over,
-                 elapsed,
-                 fates[i].wait_ms,
-                 {}});
+        report_(verdict_of(flight, i, fates[i]));
     }
 }
 
+dispatch::Verdict Pool::verdict_of(const Flight& flight, std::size_t place, const Fate& fate) const {
+    const auto& parcel = flight.call.parcels[place];
+    dispatch::Verdict verdict;
+    verdict.id = parcel.id;
+    verdict.host = flight.call.host;
+    verdict.attempt = parcel.attempt;
+    verdict.result = fate.result;
+    verdict.over = fate.over;
+    verdict.elapsed_ms = scheduler_.now() - flight.call.decided;
+    verdict.wait_ms = fate.wait_ms;
+    verdict.address = flight.address;
+    verdict.progress = flight.ended.progress;
+    verdict.status = flight.ended.status;
+    verdict.together = flight.call.parcels.size();
+    return verdict;
+}
+
 }  // namespace brasslift::upstream
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -85,6 +85,7 @@
     Time next_due(const Flight& flight) const;
     void land_due(Flight& flight);
     void land(Flight& flight);
+    dispatch::Verdict verdict_of(const Flight& flight, std::size_t place, const Fate& fate) const;
 
     runtime::Scheduler& scheduler_;
     PoolSettings settings_;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -9,11 +9,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <memory>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -146,11 +149,16 @@
         in >> what;
         std::string rest;
         std::getline(in >> std::ws, rest);
+        if (who == "k" || who == "l") return collector(who[0], what, rest);
         act(who, what, rest);
     }
+    standins::Kept kept() { return collector_of('k').kept(); }
 
-    void write_operators(const std::string& text) {
+    void write_operators(std::string text) {
         operators_ = true;
+        for (const char name : {'k', 'l'})
+            if (const auto at = text.find(std::string("@") + name); at != std::string::npos)
+                text.replace(at, 2, collector_of(name).address());
         std::ofstream(folder_ + "/operator.textproto") << text;
     }
     void reread() const { signal_child(SIGHUP); }
@@ -191,6 +199,87 @@
         throw Fault("no such word");
     }
 
+    standins::Collector& collector_of(char name) {
+        auto& own = name == 'k' ? collector_ : other_collector_;
+        if (!own) own = std::make_unique<standins::Collector>();
+        return *own;
+    }
+
+    static std::map<std::string, std::string> pairs(std::istream& in) {
+        std::map<std::string, std::string> found;
+        for (std::string word; in >> word;)
+            found[word.substr(0, word.find('='))] = word.substr(word.find('=') + 1);
+        return found;
+    }
+
+    static bool holds(const std::map<std::string, std::string>& all,
+                      const std::map<std::string, std::string>& asked) {
+        return std::all_of(asked.begin(), asked.end(), [&](const auto& a) {
+            const auto found = all.find(a.first);
+            return found != all.end() && found->second == a.second;
+        });
+    }
+
+    void collector(char name, const std::string& what, const std::string& rest) {
+        auto& c = collector_of(name);
+        std::istringstream in(rest);
+        if (what == "down") return c.down();
+        if (what == "up") return c.up();
+        if (what == "behaves") {
+            int times = -1;
+            if (std::isdigit(static_cast<unsigned char>(rest[0])) != 0) in >> times;
+            std::string words;
+            std::getline(in >> std::ws, words);
+            return c.behave(standins::behaviour_of(words), times);
+        }
+        std::string kind, first;
+        in >> kind;
+        if (kind == "log") std::getline(in >> std::ws, first);
+        if (kind == "request") {
+            std::getline(in >> std::ws, first);
+            if (c.until([&](const auto& kept) {
+                    return std::find(kept.requests.begin(), kept.requests.end(), first) !=
+                           kept.requests.end();
+                }))
+                return;
+            throw Fault("no such request");
+        }
+        if (kind == "log") {
+            if (c.until([&](const auto& kept) {
+                    return std::any_of(kept.records.begin(), kept.records.end(), [&](const auto& r) {
+                        return r.body.find(first) != std::string::npos;
+                    });
+                }))
+                return;
+            throw Fault("no such log record");
+        }
+        in >> first;
+        if (kind == "metric") {
+            double value = 0;
+            in >> value;
+            const auto asked = pairs(in);
+            if (c.until([&](const auto& kept) { return kept.latest(first, asked) == value; })) return;
+            throw Fault("it is " + std::to_string(c.kept().latest(first, asked)));
+        }
+        int ms = patience_ms;
+        if (what == "lacks") in >> ms;
+        const auto asked = pairs(in);
+        const bool came = c.until(
+            [&](const auto& kept) {
+                return std::any_of(kept.spans.begin(), kept.spans.end(), [&](const auto& s) {
+                    return s.name == first && holds(s.attributes, asked);
+                });
+            },
+            what == "lacks" ? ms : 5000);
+        if (came == (what == "shows")) return;
+        std::string seen;
+        for (const auto& s : c.kept().spans) {
+            seen += "\n" + s.name;
+            for (const auto& [key, value] : s.attributes) seen += ' ' + key + '=' + value;
+        }
+        throw Fault(came ? "it came" : "it did not come; there are:" + seen);
+    }
+
     static Clock::time_point after(int ms) { return Clock::now() + std::chrono::milliseconds(ms); }
 
     void post(Peer& p, const std::string& rest) {
@@ -372,11 +461,14 @@
     std::map<char, Peer*> matched_;  // the connection that the latest expect of a letter was met on
     pid_t child_ = 0;
     bool operators_ = false;
+    std::unique_ptr<standins::Collector> collector_, other_collector_;
 };
 
 }  // namespace
 
-std::string play(const std::string& script) {
+namespace {
+
+std::string play_and(const std::string& script, standins::Kept* kept) {
     std::istringstream lines(script);
     std::string line;
     int number = 0;
@@ -387,12 +479,18 @@
             const auto from = line.find_first_not_of(' ');
             if (from != std::string::npos) stage.line(line.substr(from));
         }
+        if (kept != nullptr) *kept = stage.kept();
     } catch (const std::exception& fault) {
         return "line " + std::to_string(number) + " (" + line + "): " + fault.what();
     }
     return "";
 }
 
+}  // namespace
+
+std::string play(const std::string& script) { return play_and(script, nullptr); }
+std::string play(const std::string& script, standins::Kept& kept) { return play_and(script, &kept); }
+
 Flood play_flood(const std::string& operators, const std::vector<Tenant>& tenants, int reloads) {
     constexpr double apart_ms = 500;
     Stage stage;
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -10,6 +10,7 @@
 #include "telemetry/delivery.hpp"
 #include "telemetry/encode.hpp"
 #include "telemetry/metrics.hpp"
+#include "telemetry/queue.hpp"
 #include "telemetry/sampling.hpp"
 
 namespace brasslift::telemetry {
@@ -86,11 +87,7 @@
     EXPECT_TRUE(sampled(std::nullopt, ids.trace(), 1));
 }
 
-Span span(std::size_t padding = 0) {
-    Span s;
-    s.name = std::string(padding, 'n');
-    return s;
-}
+std::string span(std::size_t padding = 0) { return std::string(padding, 'n'); }
 
 TEST(Pending, KeepsWhatTheRatioOrTheEndChose) {
     Pending pending(1 << 20);
@@ -98,7 +95,8 @@
     const auto kept = [&](bool sampled, const Ended& ended) {
         pending.open(1, sampled);
         pending.add(1, span());
-        return pending.close(1, ended, rule).size();
+        const auto spans = pending.close(1, ended, rule);
+        return spans ? spans->size() : 0;
     };
     EXPECT_EQ(kept(false, {}), 0u);
     EXPECT_EQ(kept(true, {}), 1u);
@@ -111,8 +109,7 @@
 }
 
 TEST(Pending, LosesUnsampledMessagesFirstAndWhole) {
-    const auto one = span(1000).bytes();
-    Pending pending(one * 6);
+    Pending pending(6 * 1050);
     for (std::uint64_t m = 1; m <= 3; ++m) {
         pending.open(m, m == 1);
         pending.add(m, span(1000));
@@ -122,10 +119,10 @@
     pending.add(4, span(1000));  // no room: message 2 is the oldest that was not chosen
     EXPECT_EQ(pending.dropped(), 2u);
     pending.add(2, span(1000));  // what comes later of it would be half a trace
-    EXPECT_EQ(pending.close(2, {true, false, 0, 0}, {}).size(), 0u);
-    EXPECT_EQ(pending.close(1, {}, {}).size(), 2u);
-    EXPECT_EQ(pending.close(3, {true, false, 0, 0}, {}).size(), 2u);
-    EXPECT_EQ(pending.close(4, {true, false, 0, 0}, {}).size(), 1u);
+    EXPECT_FALSE(pending.close(2, {true, false, 0, 0}, {}));
+    EXPECT_EQ(pending.close(1, {}, {})->size(), 2u);
+    EXPECT_EQ(pending.close(3, {true, false, 0, 0}, {})->size(), 2u);
+    EXPECT_EQ(pending.close(4, {true, false, 0, 0}, {})->size(), 1u);
     EXPECT_EQ(pending.bytes(), 0u);
     EXPECT_EQ(pending.messages(), 0u);
 }
@@ -146,39 +143,33 @@
 }
 
 TEST(Queue, DropsTheOldestUnsampledFirstAndCounts) {
-    Queue queue(1 << 20, 4);
-    const auto named = [](const char* name) {
-        Span s;
-        s.name = name;
-        return std::vector<Span>{s};
-    };
-    queue.put(named("plain-1"), false);
-    queue.put(named("chosen-1"), true);
-    queue.put(named("plain-2"), false);
-    queue.put(named("chosen-2"), true);
-    queue.put(named("chosen-3"), true);
+    Queue queue(4 * (Queue::overhead + 8));
+    queue.put(1, "plain--1", false);
+    queue.put(2, "chosen-1", true);
+    queue.put(3, "plain--2", false);
+    queue.put(4, "chosen-2", true);
+    queue.put(5, "chosen-3", true);
     EXPECT_EQ(queue.dropped(), 1u);
-    queue.put(named("chosen-4"), true);
-    queue.put(named("chosen-5"), true);
+    EXPECT_EQ(queue.oldest(), 2);
+    queue.put(6, "chosen-4", true);
+    queue.put(7, "chosen-5", true);
     EXPECT_EQ(queue.dropped(), 3u);
     std::string order;
-    for (const auto& s : queue.take(10, 1 << 20)) order += s.name + ' ';
+    for (const auto& item : queue.take(10, 1 << 20)) order += item + ' ';
     EXPECT_EQ(order, "chosen-2 chosen-3 chosen-4 chosen-5 ");
     EXPECT_EQ(queue.bytes(), 0u);
 }
 
 TEST(Queue, TakesInOrderWithinItsBounds) {
-    Queue queue(1 << 20, 1000);
-    for (int i = 0; i < 10; ++i) {
-        Span s;
-        s.start = static_cast<std::uint64_t>(i);
-        queue.put({s}, i % 3 == 0);
-    }
+    Queue queue(1 << 20);
+    for (int i = 0; i < 10; ++i) queue.put(i, std::to_string(i), i % 3 == 0);
     const auto batch = queue.take(4, 1 << 20);
     ASSERT_EQ(batch.size(), 4u);
-    for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(batch[i].start, i);
-    EXPECT_EQ(queue.take(100, 1).size(), 1u);  // one at least, or a large one would never go
+    for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(batch[i], std::to_string(i));
+    EXPECT_EQ(queue.take(100, 0).size(), 1u);  // one at least, or a large one would never go
     EXPECT_EQ(queue.size(), 5u);
+    queue.limit(2 * (Queue::overhead + 1));
+    EXPECT_EQ(queue.size(), 2u);
 }
 
 TEST(Histogram, CountsEveryValueOnceWithinItsBuckets) {
@@ -326,7 +317,7 @@
          const std::vector<Attribute>& attributes) {
     for (const auto& a : attributes) {
         auto* const kv = into->Add();
-        kv->set_key(a.key);
+        kv->set_key(std::string(a.key));
         auto* const v = kv->mutable_value();
         if (const auto* const s = std::get_if<std::string>(&a.value)) v->set_string_value(*s);
         if (const auto* const i = std::get_if<std::int64_t>(&a.value)) v->set_int_value(*i);
@@ -338,7 +329,7 @@
 std::vector<Attribute> attributes(std::mt19937_64& random) {
     std::vector<Attribute> all;
     for (auto n = random() % 5; n > 0; --n) {
-        const auto key = "key." + std::to_string(random() % 100);
+        const auto key = interned("key." + std::to_string(random() % 100));
         switch (random() % 6) {
             case 0: all.push_back({key, std::string(random() % 300, 'v')}); break;
             case 1: all.push_back({key, static_cast<std::int64_t>(random())}); break;
--- a/tools/schema_doc.cpp
+++ b/tools/schema_doc.cpp
@@ -35,8 +35,9 @@
 }
 
 std::string type_of(const pb::FieldDescriptor& f) {
-    static const char* const kinds[] = {"text", "duration",           "size",        "rate",  "share",
-                                        "name", "name or beginning*", "destination", "label", "path"};
+    static const char* const kinds[] = {"text",   "duration",           "size",        "rate",  "share",
+                                        "name",   "name or beginning*", "destination", "label", "path",
+                                        "address"};
     if (f.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE)
         return "[" + f.message_type()->name() + "](#" + f.message_type()->name() + ")";
     if (f.cpp_type() == pb::FieldDescriptor::CPPTYPE_ENUM) {
