--- a/src/commands/watch.cpp
+++ b/src/commands/watch.cpp
@@ -67,6 +67,7 @@
     });
     parts_.scheduler.spawn(telemetry_->run());
     parts_.scheduler.spawn(telemetry_->watch());
+    parts_.scheduler.spawn(telemetry_->settle());
 }
 
 // What is recorded is still sent; nothing more is recorded.
--- a/src/telemetry/recorder.cpp
+++ b/src/telemetry/recorder.cpp
@@ -108,6 +108,7 @@
       pending_(settings.pending_bytes) {}
 
 void Recorder::change(const RecorderSettings& settings) {
+    settle();
     settings_ = settings;
     pending_.limit(settings.pending_bytes);
 }
@@ -157,7 +158,7 @@
 
 // A message that was handed in before, under the same key or, as its client says, refused: both are linked,
 // the earlier one as long as it has not ended.
-void Recorder::link(Life& life, const dispatch::Seen& seen, MessageId id) {
+void Recorder::link(Life& life, std::size_t by_key, std::size_t by_print, bool again, MessageId id) {
     const auto join = [&](std::uint64_t mark, const char* by) {
         const auto found = mark == 0 ? earlier_.end() : earlier_.find(mark);
         if (found == earlier_.end() || found->second.span == life.span) return false;
@@ -174,11 +175,11 @@
                                             {"brasslift.link.by", std::string(by)}}});
         return true;
     };
-    const bool joined = join(seen.by_key, "key");
-    if (!joined && seen.again) join(seen.by_print, "content");
+    const bool joined = join(by_key, "key");
+    if (!joined && again) join(by_print, "content");
     const Earlier self{life.trace, life.span, id};
-    remember(seen.by_key, self);
-    if (id == 0) remember(seen.by_print, self);  // one that was taken on does not come again as refused
+    remember(by_key, self);
+    if (id == 0) remember(by_print, self);  // one that was taken on does not come again as refused
 }
 
 Span Recorder::child(const Life& life, std::string_view name, Time from, Time to) {
@@ -226,10 +227,19 @@
 
 void Recorder::refused(Time now, const dispatch::Seen& seen, Refusal by, std::string_view rule,
                        double pause_ms) {
+    later([this, now,
+           stream = Stream{text(seen.name), text(rule), seen.trace, seen.message_class, seen.tenant,
+                           seen.destination, seen.bytes, seen.came, seen.again, seen.by_key, seen.by_print,
+                           by, pause_ms}] { note_refused(now, stream); });
+}
+
+void Recorder::note_refused(Time now, const Stream& seen) {
+    const auto by = seen.by;
+    const auto& rule = seen.rule;
     meters_.refused(seen.message_class, name_of(by));
     if (!settings_.traces) return;
     auto life = fresh(seen.came, seen.trace);
-    link(life, seen, 0);
+    link(life, seen.by_key, seen.by_print, seen.again, 0);
     if (!life.sampled) return;
     Span span = child(life, "refuse", seen.came, now);
     span.id = life.span;
@@ -242,9 +252,10 @@
     span.attributes.push_back({"messaging.operation.name", std::string("refuse")});
     span.attributes.push_back({"brasslift.reason", text(name_of(by))});
     span.attributes.push_back({"error.type", text(name_of(by))});
-    if (!rule.empty()) span.attributes.push_back({"brasslift.rule", text(rule)});
-    if (pause_ms > 0)
-        span.attributes.push_back({"brasslift.pause_ms", static_cast<std::int64_t>(std::ceil(pause_ms))});
+    if (!rule.empty()) span.attributes.push_back({"brasslift.rule", rule});
+    if (seen.pause_ms > 0)
+        span.attributes.push_back(
+            {"brasslift.pause_ms", static_cast<std::int64_t>(std::ceil(seen.pause_ms))});
     spans_.put(now, encode_item(span), true);
 }
 
@@ -252,10 +263,14 @@
     auto life = fresh(std::min(seen.came, now), seen.trace);
     life.message_class = seen.message_class;
     life.destination = seen.destination;
-    if (settings_.traces) {
-        link(life, seen, id);
-        if (!life.chosen) pending_.open(id, false);
-    }
+    if (settings_.traces)
+        later([this, id, chosen = life.chosen, by_key = seen.by_key, by_print = seen.by_print,
+               again = seen.again] {
+            const auto found = lives_.find(id);
+            if (found == lives_.end()) return;
+            link(found->second, by_key, by_print, again, id);
+            if (!chosen) pending_.open(id, false);
+        });
     auto mark =
         write_mark(life.trace, life.span, life.sampled, life.parent, wall(life, life.came), life.state);
     lives_.insert_or_assign(id, std::move(life));
@@ -263,11 +278,14 @@
 }
 
 void Recorder::taken(Time, const dispatch::Owed& m) {
-    meters_.taken(m.message_class, m.tenant);
-    if (const auto found = lives_.find(m.id); found != lives_.end()) found->second.taken = true;
+    later([this, id = m.id, message_class = m.message_class, tenant = m.tenant] {
+        meters_.taken(message_class, tenant);
+        if (const auto found = lives_.find(id); found != lives_.end()) found->second.taken = true;
+    });
 }
 
 void Recorder::restored(Time now, const dispatch::Owed& m) {
+    settle();
     const auto mark = read_mark(m.mark);
     auto life = fresh(now, {});
     if (mark) {
@@ -316,37 +334,52 @@
 dispatch::Trace Recorder::sends(Time now, const dispatch::Owed& m, const plan::PoolRule* pool) {
     const auto found = lives_.find(m.id);
     if (found == lives_.end()) return {};
+    later([this, now, id = m.id, facts = Facts(m), name = pool == nullptr ? std::string() : pool->name] {
+        note_sent(now, id, facts, name);
+    });
+    if (!settings_.traces) return {};
+    const auto& life = found->second;
+    return {write_traceparent({life.trace, attempt_id(life.span, m.attempts), life.sampled, {}}), life.state};
+}
+
+void Recorder::note_sent(Time now, MessageId id, const Facts& m, const std::string& pool) {
+    const auto found = lives_.find(id);
+    if (found == lives_.end()) return;
     auto& life = found->second;
-    rest(now, m.id, life);
+    rest(now, id, life);
     const double queued = std::max(0.0, now - life.free_since);
     meters_.queued(m.destination, queued);
     if (m.attempts > 1) meters_.retried(m.destination);
     if (queued >= settings_.shortest_queue_ms) {
         Span span = child(life, "queue", life.free_since, now);
         if (life.parked) span.attributes.push_back({"brasslift.reason", std::string("pool cap")});
-        emit(now, m.id, life, span);
+        emit(now, id, life, span);
     }
     life.parked = false;
     life.out = m.attempts;
     life.out_since = now;
-    life.pool = pool == nullptr ? std::string() : pool->name;
-    if (!settings_.traces) return {};
-    return {write_traceparent({life.trace, attempt_id(life.span, m.attempts), life.sampled, {}}), life.state};
+    life.pool = pool;
 }
 
 void Recorder::parked(Time, MessageId id) {
-    if (const auto found = lives_.find(id); found != lives_.end()) found->second.parked = true;
+    later([this, id] {
+        if (const auto found = lives_.find(id); found != lives_.end()) found->second.parked = true;
+    });
 }
 
 void Recorder::landed(Time now, const dispatch::Owed& m, const dispatch::Verdict& v) {
-    const auto found = lives_.find(m.id);
+    later([this, now, id = m.id, destination = m.destination, v] { note_landed(now, id, destination, v); });
+}
+
+void Recorder::note_landed(Time now, MessageId id, std::uint16_t destination, const dispatch::Verdict& v) {
+    const auto found = lives_.find(id);
     const int attempt = v.attempt + 1;  // the core counts those made before
     if (found == lives_.end() || found->second.out != attempt) return;
     auto& life = found->second;
     const auto& address = address_of(v.address);
     meters_.attempt(std::uint64_t{v.address.host} << 16 | v.address.port, address, name_of(v.result),
                     now - life.out_since);
-    if (v.wait_ms > 0) meters_.told_wait(m.destination, v.wait_ms);
+    if (v.wait_ms > 0) meters_.told_wait(destination, v.wait_ms);
     if (settings_.traces) {
         Span span = child(life, "attempt", life.out_since, now);
         span.id = attempt_id(life.span, attempt);
@@ -355,7 +388,7 @@
         span.attributes.push_back({"brasslift.attempt", std::int64_t{attempt}});
         span.attributes.push_back({"brasslift.result", text(name_of(v.result))});
         span.attributes.push_back({"brasslift.progress", text(name_of(v.progress))});
-        span.attributes.push_back({"messaging.destination.name", std::to_string(m.destination)});
+        span.attributes.push_back({"messaging.destination.name", std::to_string(destination)});
         if (v.address.port != 0) {
             const auto colon = address.rfind(':');
             span.attributes.push_back({"server.address", address.substr(0, colon)});
@@ -375,32 +408,41 @@
             span.status = Status::error;
             span.attributes.push_back({"error.type", text(name_of(v.result))});
         }
-        emit(now, m.id, life, span);
+        emit(now, id, life, span);
     }
     life.out = 0;
     life.free_since = now;
-    forget_if_over(m.id);
+    forget_if_over(id);
 }
 
 void Recorder::sleeps(Time now, MessageId id, Time until, bool told) {
-    const auto found = lives_.find(id);
-    if (found == lives_.end() || found->second.ended || until <= now) return;
-    auto& life = found->second;
-    life.sleep_from = now;
-    life.sleep_until = until;
-    life.told = told;
+    if (until <= now) return;
+    later([this, now, id, until, told] {
+        const auto found = lives_.find(id);
+        if (found == lives_.end() || found->second.ended) return;
+        auto& life = found->second;
+        life.sleep_from = now;
+        life.sleep_until = until;
+        life.told = told;
+    });
 }
 
 void Recorder::ended(Time now, const dispatch::Owed& m, Ending ending, double again_ms) {
-    const auto found = lives_.find(m.id);
+    later([this, now, id = m.id, facts = Facts(m), ending, again_ms] {
+        note_ended(now, id, facts, ending, again_ms);
+    });
+}
+
+void Recorder::note_ended(Time now, MessageId id, const Facts& m, Ending ending, double again_ms) {
+    const auto found = lives_.find(id);
     if (found == lives_.end() || found->second.ended) return;
     auto& life = found->second;
     meters_.ended(m.message_class, m.destination, name_of(ending), now - life.came);
     if (settings_.traces) {
-        if (life.out == 0) rest(now, m.id, life);
+        if (life.out == 0) rest(now, id, life);
         const Ended how{ending == Ending::failed, ending == Ending::deferred, m.attempts, now - life.came};
         Span span = child(life, "deliver", life.came, now);
-        describe(span, m.name, m.message_class, m.tenant, m.destination, m.body->size());
+        describe(span, m.name, m.message_class, m.tenant, m.destination, m.bytes);
         span.attributes.push_back({"messaging.operation.name", std::string("deliver")});
         span.attributes.push_back({"brasslift.outcome", text(name_of(ending))});
         span.attributes.push_back({"brasslift.attempts", std::int64_t{m.attempts}});
@@ -412,17 +454,21 @@
             if (again_ms > 0)
                 span.attributes.push_back({"brasslift.again_ms", static_cast<std::int64_t>(again_ms)});
         }
-        close(now, m.id, life, std::move(span), how);
+        close(now, id, life, std::move(span), how);
     }
     if (ending != Ending::done && say_)
         say_(life.trace, life.span,
              m.name + " to " + std::to_string(m.destination) + " ended " + text(name_of(ending)) + " after " +
                  std::to_string(m.attempts) + " attempts");
     life.ended = true;
-    forget_if_over(m.id);
+    forget_if_over(id);
 }
 
 void Recorder::abandoned(Time now, MessageId id, Refusal why) {
+    later([this, now, id, why] { note_abandoned(now, id, why); });
+}
+
+void Recorder::note_abandoned(Time now, MessageId id, Refusal why) {
     const auto found = lives_.find(id);
     if (found == lives_.end() || found->second.ended) return;
     auto& life = found->second;
@@ -463,12 +509,23 @@
     if (found != lives_.end() && found->second.ended && found->second.out == 0) lives_.erase(found);
 }
 
+bool Recorder::settle(std::size_t most) {
+    for (; most > 0 && !notes_.empty(); --most) {
+        const auto note = std::move(notes_.front());
+        notes_.pop_front();
+        note();
+    }
+    return notes_.empty();
+}
+
 void Recorder::forget() {
+    settle();
     for (const auto& [id, life] : lives_) pending_.close(id, {}, {});
     lives_.clear();
 }
 
 void Recorder::interrupt(Time now) {
+    settle();
     if (!settings_.traces) return;
     for (auto& [id, life] : lives_) {
         if (life.ended) continue;
--- a/src/telemetry/recorder.hpp
+++ b/src/telemetry/recorder.hpp
@@ -4,7 +4,11 @@
 #pragma once
 
 #include <deque>
+#include <functional>
+#include <map>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "dispatch/observer.hpp"
 #include "telemetry/meters.hpp"
@@ -29,6 +33,10 @@
     void change(const RecorderSettings& settings);
     // Wall clock less steady clock, in milliseconds, for messages that begin from now on.
     void set_offset(double offset) { offset_ = offset; }
+    // Makes spans of what was noted, so many notes at most; false: there are more.
+    bool settle(std::size_t most = ~std::size_t{0});
+    // Called when there is something to settle; it may settle later, not from within.
+    void tell_to(std::function<void()> news) { news_ = std::move(news); }
     // Nothing is told any more; messages under way have no trace when it begins again.
     void forget();
     // The process ends: what is known of messages that are still owed is kept, for the next life goes on with
@@ -73,6 +81,32 @@
         std::vector<Link> links;
         std::vector<SpanEvent> events;
     };
+    struct Facts {  // of a message, as they stand when something is told of it
+        explicit Facts(const dispatch::Owed& m)
+            : name(m.name),
+              message_class(m.message_class),
+              tenant(m.tenant),
+              destination(m.destination),
+              bytes(m.body->size()),
+              attempts(m.attempts),
+              may_have_run(m.may_have_run) {}
+        std::string name;
+        std::uint16_t message_class, tenant, destination;
+        std::size_t bytes;
+        int attempts;
+        bool may_have_run;
+    };
+    struct Stream {  // that was refused
+        std::string name, rule;
+        dispatch::Trace trace;
+        std::uint16_t message_class, tenant, destination;
+        std::size_t bytes;
+        Time came;
+        bool again;
+        std::size_t by_key, by_print;
+        dispatch::Refusal by;
+        double pause_ms;
+    };
     struct Earlier {  // of a message that was handed in of late
         TraceId trace{};
         SpanId span{};
@@ -82,7 +116,17 @@
     static std::uint64_t wall(const Life& life, Time at);
     static SpanId attempt_id(const SpanId& message, int attempt);
     Life fresh(Time now, const dispatch::Trace& client);
-    void link(Life& life, const dispatch::Seen& seen, MessageId id);
+    template <class Note>
+    void later(Note note) {
+        notes_.emplace_back(std::move(note));
+        if (notes_.size() == 1 && news_) news_();
+    }
+    void note_refused(Time now, const Stream& stream);
+    void note_sent(Time now, MessageId id, const Facts& facts, const std::string& pool);
+    void note_landed(Time now, MessageId id, std::uint16_t destination, const dispatch::Verdict& verdict);
+    void note_ended(Time now, MessageId id, const Facts& facts, dispatch::Ending ending, double again_ms);
+    void note_abandoned(Time now, MessageId id, dispatch::Refusal why);
+    void link(Life& life, std::size_t by_key, std::size_t by_print, bool again, MessageId id);
     void remember(std::uint64_t mark, const Earlier& earlier);
     Span child(const Life& life, std::string_view name, Time from, Time to);
     void emit(Time now, MessageId id, const Life& life, const Span& span);
@@ -105,6 +149,8 @@
     std::deque<std::uint64_t> order_;  // of the earlier ones
     std::map<runtime::Address, std::string> addresses_;
     Say say_;
+    std::deque<std::function<void()>> notes_;
+    std::function<void()> news_;
 };
 
 }  // namespace brasslift::telemetry
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -63,10 +63,12 @@
       rule_(rule),
       meters_(who.labels, meter_settings(rule), nanoseconds(runtime::wall_now())),
       exporter_(scheduler, exporter_settings(rule), source_of(who, rule), who.seed, meters_),
-      recorder_(who.labels, recorder_settings(rule), who.seed, meters_, exporter_.spans()) {
+      recorder_(who.labels, recorder_settings(rule), who.seed, meters_, exporter_.spans()),
+      told_(scheduler) {
     offset_ = runtime::wall_now() - runtime::steady_now();
     recorder_.set_offset(offset_);
     exporter_.collect_by([this] { return collect(); });
+    recorder_.tell_to([this] { told_.notify(); });
 }
 
 void Telemetry::change(const plan::TelemetryRule& rule) {
@@ -79,6 +81,7 @@
 std::uint64_t Telemetry::wall_ns() const { return nanoseconds(scheduler_.now() + offset_); }
 
 Meters::Collected Telemetry::collect() {
+    recorder_.settle();
     if (levels_) levels_(meters_);
     const auto lost = recorder_.dropped();
     meters_.exported(Signal::traces, Exported::undecided, lost - undecided_);
@@ -108,6 +111,18 @@
     exporter_.hurry(until, last);
 }
 
+runtime::Task<void> Telemetry::settle() {
+    constexpr std::size_t notes_at_once = 16;  // some 50 us
+    runtime::Waker pause(scheduler_);
+    for (;;) {
+        co_await told_.wait();
+        do {
+            // Hosts' actors that were woken in the same turn come first.
+            co_await pause.wait(scheduler_.now());
+        } while (!recorder_.settle(notes_at_once));
+    }
+}
+
 runtime::Task<void> Telemetry::watch() {
     Time due = scheduler_.now() + probe_ms, anchored = scheduler_.now();
     for (;;) {
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -37,6 +37,8 @@
     runtime::Task<void> run() { return exporter_.run(); }
     // Measures how late the loop's timers are, and follows the wall clock.
     runtime::Task<void> watch();
+    // Makes spans of what the core told, once the calls that it made have gone.
+    runtime::Task<void> settle();
 
 private:
     Meters::Collected collect();
@@ -48,6 +50,7 @@
     Meters meters_;
     Exporter exporter_;
     Recorder recorder_;
+    runtime::Waker told_;
     std::function<void(Meters&)> levels_;
     std::uint64_t undecided_ = 0;  // spans lost before their message's end, as told so far
     double offset_ = 0;
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -61,6 +61,7 @@
         recorder_.landed(now, m, v);
     }
     std::vector<otlp::trace::v1::Span> spans() {
+        recorder_.settle();
         otlp::collector::trace::v1::ExportTraceServiceRequest request;
         EXPECT_TRUE(request.ParseFromString(request_of(source, queue_.take(100000, 1 << 30))));
         std::vector<otlp::trace::v1::Span> all;
@@ -175,6 +176,7 @@
         const auto m = begin(0, id, "key" + std::to_string(id));
         recorder_.ended(1, m, Ending::done, 0);
     }
+    recorder_.settle();
     EXPECT_EQ(recorder_.lives(), 0u);
     spans();
     const auto old = begin(0, 30000, "key1");
@@ -189,8 +191,10 @@
         land(2, *m, m == &good ? Result::ok : Result::error);
     }
     recorder_.ended(3, good, Ending::done, 0);
+    recorder_.settle();
     EXPECT_EQ(queue_.size(), 0u);
     recorder_.ended(3, bad, Ending::failed, 0);
+    recorder_.settle();
     EXPECT_EQ(queue_.size(), 2u);
     // The process ends: what is owed is told as far as it came.
     recorder_.interrupt(4);
