--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -184,6 +184,23 @@
     EXPECT_EQ(spans().back().links_size(), 0);
 }
 
+// After a kill: the next life tells of the attempt under the id that its host was told.
+TEST_F(Lives, ACutAttemptHasTheIdThatItsHostWasTold) {
+    auto m = begin(0, 1);
+    const auto told = read_traceparent(send(10, m).parent);
+    m.cut = true;
+    Queue queue(1 << 20);
+    Recorder next({{"safe"}, {"acme"}}, settings(1), 8, meters_, queue);
+    next.set_offset(1e12);
+    next.restored(500, m);
+    otlp::collector::trace::v1::ExportTraceServiceRequest request;
+    ASSERT_TRUE(request.ParseFromString(request_of(source, queue.take(10, 1 << 20))));
+    const auto& span = request.resource_spans(0).scope_spans(0).spans(0);
+    EXPECT_EQ(span.span_id(), std::string(told->span.begin(), told->span.end()));
+    EXPECT_EQ(span.trace_id(), std::string(told->trace.begin(), told->trace.end()));
+    EXPECT_EQ(span.start_time_unix_nano(), ns(10));
+}
+
 TEST_F(Unsampled, AreKeptWhereTheirEndSaysSo) {
     auto good = begin(0, 1), bad = begin(0, 2), open = begin(0, 3);
     for (auto* const m : {&good, &bad, &open}) {
