Mend the re-reading of telemetry: one caller for notices and exports, bounded look-ups

Cause: the exporter wrote the notices' connection again; the instruments' look-ups by number grew past the series' bound with destinations and outcomes (only endpoints had one); a reload that switched traces off in mid-run left messages' places among the pending for good; two lists said which statuses may go again. Ruled out: the copy scan's pairs are the three signals' schema files, whose shape is the specification's. Change: src/client holds the one connection, nudged where the end of its time moves; the bound sits in the look-up itself; an end always gives its pending place back; one may_go_again, one salt for tenants, unused accessors gone.

--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -36,7 +36,7 @@
     for (;;) {
         for (auto& notice : mailbox_.take_all()) waiting_.push_back(std::move(notice));
         if (std::exchange(moved_, false)) {
-            socket_.close();
+            caller_.close();
             pause = first_pause_ms;
         }
         if (waiting_.empty()) {
@@ -62,7 +62,7 @@
             if (waiting_.empty()) most = most_lines;
             continue;
         }
-        socket_.close();
+        caller_.close();
         const Time until = scheduler_.now() + pause;
         while (!moved_ && scheduler_.now() < until) co_await waker_.wait(until);
         pause = std::min(2 * pause, longest_pause_ms);
@@ -77,45 +77,9 @@
 }
 
 runtime::Task<int> Notices::post(const std::string& body) {
-    runtime::Waker waker(scheduler_);
     const Time until = scheduler_.now() + answer_ms;
-    // A kept connection that has news while nothing is out has ended.
-    if (socket_ && socket_.readable()) socket_.close();
-    if (!socket_) {
-        auto fresh = runtime::connect_to(scheduler_, discovery_, waker);
-        if (!fresh) co_return 0;
-        socket_ = std::move(*fresh);
-    }
-    socket_.rebind(waker);
-    const auto state = co_await runtime::come_up(scheduler_, socket_, waker, until);
-    const auto text = request_with(body);
-    std::string_view rest = text;
-    http::Parser parser(http::Parser::Side::response);
-    char part[4096];
-    while (state == runtime::Io::done && !parser.complete() && scheduler_.now() < until) {
-        if (!rest.empty()) {
-            const auto put = socket_.write(rest);
-            if (put.io == runtime::Io::failed) break;
-            rest.remove_prefix(put.count);
-            if (put.io == runtime::Io::done) continue;
-        }
-        const auto got = socket_.read(part, sizeof part);
-        if (got.io == runtime::Io::blocked) {
-            co_await waker.wait(until);
-            continue;
-        }
-        if (got.io != runtime::Io::done) break;
-        parser.feed({part, got.count});
-        if (parser.fault() != http::Fault::none) break;
-    }
-    const bool whole = parser.complete();
-    const int status = whole ? parser.message().status : 0;
-    // The waker ends with this call; the next one binds the connection to its own.
-    if (whole && parser.message().keeps_alive())
-        socket_.rebind(waker_);
-    else
-        socket_.close();
-    co_return status;
+    const auto answer = co_await caller_.call(discovery_, request_with(body), [until] { return until; });
+    co_return answer ? answer->status : 0;
 }
 
 }  // namespace brasslift::cluster
--- a/src/cluster/notices.hpp
+++ b/src/cluster/notices.hpp
@@ -4,17 +4,20 @@
 #include <deque>
 #include <functional>
 
+#include "client/caller.hpp"
 #include "dispatch/types.hpp"
-#include "http/parser.hpp"
 #include "runtime/mailbox.hpp"
-#include "runtime/socket.hpp"
 
 namespace brasslift::cluster {
 
 class Notices : public dispatch::Outbox {
 public:
     Notices(runtime::Scheduler& scheduler, runtime::Address discovery)
-        : scheduler_(scheduler), discovery_(discovery), waker_(scheduler), mailbox_(waker_) {}
+        : scheduler_(scheduler),
+          discovery_(discovery),
+          waker_(scheduler),
+          mailbox_(waker_),
+          caller_(scheduler) {}
 
     using Report = std::function<void(dispatch::Told)>;
     void report_to(Report report) { report_ = std::move(report); }
@@ -32,7 +35,7 @@
     runtime::Waker waker_;
     runtime::Mailbox<dispatch::Notice> mailbox_;
     std::deque<dispatch::Notice> waiting_;
-    runtime::Socket socket_;
+    client::Caller caller_;
     bool moved_ = false;
     Report report_;
 };
--- a/src/commands/watch.cpp
+++ b/src/commands/watch.cpp
@@ -1,6 +1,6 @@
 #include "commands/watch.hpp"
 
-#include <cmath>
+#include <cstdio>
 #include <random>
 
 #include "config/json.hpp"
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t most_remembered = 4096;
 constexpr double remembered_ms = 30000;
 
+// Tells one tenant's keys and prints from another's.
+std::size_t salt_of(std::uint16_t tenant) { return (std::size_t{tenant} + 1) * 0x9e3779b97f4a7c15U; }
+
 }  // namespace
 
 Dispatcher::Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed,
@@ -116,7 +119,6 @@
 }
 
 Seen Dispatcher::seen_of(const Submission& s) {
-    const auto tenant_part = (std::size_t{s.tenant} + 1) * 0x9e3779b97f4a7c15U;
     return {s.name,
             s.message_class,
             s.tenant,
@@ -125,13 +127,12 @@
             s.trace,
             s.came,
             s.again,
-            s.key.empty() ? 0 : std::hash<std::string_view>()(s.key) ^ tenant_part,
-            print_of(s) ^ tenant_part};
+            s.key.empty() ? 0 : std::hash<std::string_view>()(s.key) ^ salt_of(s.tenant),
+            print_of(s) ^ salt_of(s.tenant)};
 }
 
 Seen Dispatcher::seen_of(const Candidate& c) {
     const auto& m = c.message;
-    const auto tenant_part = (std::size_t{m.tenant} + 1) * 0x9e3779b97f4a7c15U;
     return {m.name,
             m.message_class,
             m.tenant,
@@ -140,8 +141,8 @@
             c.trace,
             c.came,
             c.again,
-            m.key.empty() ? 0 : std::hash<std::string_view>()(m.key) ^ tenant_part,
-            c.print ^ tenant_part};
+            m.key.empty() ? 0 : std::hash<std::string_view>()(m.key) ^ salt_of(m.tenant),
+            c.print ^ salt_of(m.tenant)};
 }
 
 void Dispatcher::refuse(const Submission& s, Client& client, Reply reply, Refusal by, double pause_ms,
@@ -171,7 +172,7 @@
         return refuse(s, *client, Reply::full, Refusal::held, full_pause_ms);
     const auto id = ledger_.reserve_id();
     if (gate_) {
-        const auto mark = print ^ (std::size_t{s.tenant} + 1) * 0x9e3779b97f4a7c15U;
+        const auto mark = print ^ salt_of(s.tenant);
         const auto admission =
             gate_->admit(now_, id, {s.message_class, s.tenant, s.destination}, s.body->size(), mark, s.again);
         // Pauses are told in whole milliseconds: one that is rounded down would be too early.
--- a/src/telemetry/delivery.cpp
+++ b/src/telemetry/delivery.cpp
@@ -11,13 +11,13 @@
 
 constexpr double most_retry_after_s = 86400;
 
-// The answers that the specification names; all others say that the batch itself is at fault.
+}  // namespace
+
+// The answers that the specification names.
 bool may_go_again(int status) {
     return status == 0 || status == 429 || status == 502 || status == 503 || status == 504;
 }
 
-}  // namespace
-
 std::optional<double> read_retry_after(std::string_view header) {
     header = http::trimmed(header);
     double seconds = 0;
--- a/src/telemetry/delivery.hpp
+++ b/src/telemetry/delivery.hpp
@@ -29,6 +29,9 @@
 // The form with a date is not used by collectors and counts as none.
 std::optional<double> read_retry_after(std::string_view header);
 
+// Whether a batch may go again after an answer of that status (0: none); after another it is itself at fault.
+bool may_go_again(int status);
+
 class Delivery {
 public:
     Delivery(const DeliverySettings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {}
--- a/src/telemetry/exporter.cpp
+++ b/src/telemetry/exporter.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 #include "telemetry/answer.hpp"
@@ -16,8 +15,6 @@
 constexpr std::size_t slice_bytes = 16 << 10;
 // While the process ends, the pause between two tries; a wait that the collector told is kept.
 constexpr double last_pause_ms = 50;
-constexpr double least_call_ms = 20;
-constexpr http::Limits answer_limits{16 * 1024, 64 * 1024};
 
 std::string_view path_of(Signal signal) {
     return signal == Signal::traces ? "/v1/traces" : signal == Signal::metrics ? "/v1/metrics" : "/v1/logs";
@@ -32,6 +29,7 @@
       source_(std::move(source)),
       meters_(meters),
       waker_(scheduler),
+      caller_(scheduler),
       spans_(settings_.span_bytes),
       records_(settings_.record_bytes),
       lanes_{Lane{Signal::traces, Delivery(settings_.delivery, seed), std::nullopt, 0},
@@ -60,7 +58,7 @@
     spans_.limit(settings_.span_bytes);
     records_.limit(settings_.record_bytes);
     waker_.notify();
-    if (calling_ != nullptr) calling_->notify();
+    caller_.nudge();
 }
 
 void Exporter::hurry(Time until, bool last) {
@@ -68,7 +66,7 @@
     last_ = last;
     last_until_ = until;
     waker_.notify();
-    if (calling_ != nullptr) calling_->notify();
+    caller_.nudge();
 }
 
 bool Exporter::empty() const {
@@ -158,7 +156,7 @@
 runtime::Task<void> Exporter::run() {
     for (;;) {
         if (std::exchange(moved_, false)) {
-            socket_.close();
+            caller_.close();
             for (auto& lane : lanes_) lane.delivery.start_anew();
         }
         Lane* first = nullptr;
@@ -185,10 +183,9 @@
         const auto end = co_await post(lane);
         settle(lane, end);
         out_ = false;
-        if (stopping_ && lane.batch) {  // no try after the other in the same moment
-            const Time until = scheduler_.now() + last_pause_ms;
-            while (scheduler_.now() < until) co_await waker_.wait(until);
-        }
+        // No try after the other in the same moment.
+        if (stopping_ && lane.batch)
+            co_await runtime::sleep_until(scheduler_, scheduler_.now() + last_pause_ms);
     }
 }
 
@@ -206,9 +203,8 @@
             break;
         }
         case Delivery::Fate::dropped: {
-            const bool over = end.status == 0 || end.status == 429 || end.status == 502 ||
-                              end.status == 503 || end.status == 504;
-            meters_.exported(lane.signal, over ? Exported::expired : Exported::refused, items);
+            meters_.exported(lane.signal, may_go_again(end.status) ? Exported::expired : Exported::refused,
+                             items);
             runtime::log("telemetry", "the collector did not take %zu items (%s, status %d)", items,
                          std::string(name_of(lane.signal)).c_str(), end.status);
             break;
@@ -244,54 +240,16 @@
     return end;
 }
 
-// A call that has no answer in time closes its connection: a late answer finds nobody.
 runtime::Task<CallEnd> Exporter::post(const Lane& lane) {
-    runtime::Waker waker(scheduler_);
-    const Time until = std::min(scheduler_.now() + settings_.timeout_ms,
-                                std::max(last_until_, scheduler_.now() + least_call_ms));
-    if (socket_ && socket_.readable()) socket_.close();
-    if (!socket_) {
-        auto fresh = runtime::connect_to(scheduler_, settings_.collector, waker);
-        if (!fresh) co_return CallEnd{};
-        socket_ = std::move(*fresh);
-    }
-    socket_.rebind(waker);
-    const auto limit = [&] { return std::min(until, std::max(last_until_, scheduler_.now())); };
-    const auto state = co_await runtime::come_up(scheduler_, socket_, waker, until);
-    // Another collector from now on: what the one before makes of this call concerns nobody.
-    const auto text = request_of(lane);
-    std::string_view rest = text;
-    http::Parser parser(http::Parser::Side::response, answer_limits);
-    char part[4096];
-    while (state == runtime::Io::done && !parser.complete() && !moved_ && scheduler_.now() < limit()) {
-        if (!rest.empty()) {
-            const auto put = socket_.write(rest);
-            // It may have said why, and closed, before it had read all.
-            if (put.io == runtime::Io::failed) rest = {};
-            rest.remove_prefix(std::min(put.count, rest.size()));
-            if (put.io == runtime::Io::done) continue;
-        }
-        const auto got = socket_.read(part, sizeof part);
-        if (got.io == runtime::Io::blocked) {
-            calling_ = &waker;  // the process may be told to end meanwhile; then there is less time
-            co_await waker.wait(limit());
-            calling_ = nullptr;
-            continue;
-        }
-        if (got.io != runtime::Io::done) {
-            parser.end();
-            break;
-        }
-        parser.feed({part, got.count});
-        if (parser.fault() != http::Fault::none) break;
-    }
-    const bool whole = parser.complete();
-    if (whole && rest.empty() && parser.message().keeps_alive() && !moved_)
-        socket_.rebind(waker_);
-    else
-        socket_.close();
-    if (!whole) co_return CallEnd{};
-    co_return read(lane.signal, parser.message());
+    const Time until = scheduler_.now() + settings_.timeout_ms;
+    // The process may be told to end meanwhile, then there is less time; and what a collector makes of a call
+    // that it no longer gets concerns nobody.
+    const auto limit = [this, until] {
+        return moved_ ? Time{0} : std::min(until, std::max(last_until_, scheduler_.now()));
+    };
+    auto answer = co_await caller_.call(settings_.collector, request_of(lane), limit);
+    if (!answer) co_return CallEnd{};
+    co_return read(lane.signal, *answer);
 }
 
 }  // namespace brasslift::telemetry
--- a/src/telemetry/exporter.hpp
+++ b/src/telemetry/exporter.hpp
@@ -10,9 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "http/message.hpp"
+#include "client/caller.hpp"
 #include "runtime/mailbox.hpp"
-#include "runtime/socket.hpp"
 #include "telemetry/delivery.hpp"
 #include "telemetry/encode.hpp"
 #include "telemetry/meters.hpp"
@@ -88,12 +87,11 @@
     Source source_;
     Meters& meters_;
     runtime::Waker waker_;
-    runtime::Waker* calling_ = nullptr;  // of the call that is out
+    client::Caller caller_;
     Queue spans_, records_;
     Collect collect_;
     std::array<Lane, 3> lanes_;
     std::unique_ptr<Deflater> deflater_;
-    runtime::Socket socket_;
     Time next_collection_ = 0, last_until_ = runtime::never;
     bool moved_ = false, stopping_ = false, last_ = false, last_collected_ = false, out_ = false;
     bool well_ = true;  // as the log was told
--- a/src/telemetry/meters.cpp
+++ b/src/telemetry/meters.cpp
@@ -11,9 +11,6 @@
 constexpr std::string_view class_key = "brasslift.class", tenant_key = "brasslift.tenant",
                            destination_key = "messaging.destination.name";
 
-// Past this many endpoints the look-up begins anew; the series have their own bound.
-constexpr std::size_t most_known = 65536;
-
 std::uint64_t packed(std::uint64_t a, std::uint64_t b, std::uint64_t c = 0) { return a << 40 | b << 20 | c; }
 
 }  // namespace
@@ -114,7 +111,6 @@
 
 void Meters::attempt(std::uint64_t endpoint, std::string_view address, std::string_view result, double ms) {
     auto& histogram = histograms_[attempt_at];
-    if (histogram.known.size() > most_known) histogram.known.clear();
     histogram
         .at(endpoint << 6 | number_of(result),
             [&] {
--- a/src/telemetry/meters.hpp
+++ b/src/telemetry/meters.hpp
@@ -72,6 +72,10 @@
             known;  // by the caller's numbers; nodes stay where they are
         template <class Key>
         Point& at(std::uint64_t number, Key key) {
+            // The series are bounded, and what is known of them must be too: destinations and hosts come
+            // without end.
+            constexpr std::size_t most_known = 4096;
+            if (known.size() >= most_known) known.clear();
             auto& place = known[number];
             if (place == nullptr) place = &series.at(key());
             return *place;
--- a/src/telemetry/recorder.cpp
+++ b/src/telemetry/recorder.cpp
@@ -455,6 +455,8 @@
                 span.attributes.push_back({"brasslift.again_ms", static_cast<std::int64_t>(again_ms)});
         }
         close(now, id, life, std::move(span), how);
+    } else {
+        pending_.close(id, {}, {});  // a reload may have switched traces off in between
     }
     if (ending != Ending::done && say_)
         say_(life.trace, life.span,
@@ -480,6 +482,8 @@
                            {"brasslift.reason", text(name_of(why))},
                            {"error.type", text(name_of(why))}};
         close(now, id, life, std::move(span), {});
+    } else {
+        pending_.close(id, {}, {});
     }
     if (life.taken)
         meters_.ended(life.message_class, life.destination, "withdrawn", now - life.came);
--- a/src/telemetry/recorder.hpp
+++ b/src/telemetry/recorder.hpp
@@ -1,4 +1,5 @@
-// Messages' lives as spans and measurements: the core's observer. It does no I/O; times are told, and become
+// Messages' lives as spans and measurements: the core's observer. While the core works it only notes what it
+// is told; spans are made of that later, when the calls have gone. It does no I/O; times are told, and become
 // the wall clock's by one offset for each message, so that no span ends before it begins whatever the clock
 // does.
 #pragma once
@@ -73,7 +74,7 @@
         std::string state;
         double offset = 0;
         Time came = 0;
-        Time free_since = 0;  // since when it could be sent; never: it is out
+        Time free_since = 0;  // since when it could be sent
         Time sleep_from = 0, sleep_until = 0;
         int out = 0;  // the attempt that is out; 0: none
         Time out_since = 0;
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -25,8 +25,6 @@
     void change(const plan::TelemetryRule& rule);
     Recorder& recorder() { return recorder_; }
     Exporter& exporter() { return exporter_; }
-    Meters& meters() { return meters_; }
-    bool traces() const { return rule_.traces; }
     // A line of the program's log; `trace`: of the message that it is about, as a traceparent, or empty.
     void log(double wall_ms, std::string_view part, std::string_view text, std::string_view trace);
     // Called before each collection, to set levels.
