--- a/src/commands/watch.cpp
+++ b/src/commands/watch.cpp
@@ -60,7 +60,7 @@
     telemetry_->levels_by([this](telemetry::Meters& meters) {
         meters.level("brasslift.messages.held", static_cast<double>(parts_.ledger.held()));
         meters.level("brasslift.messages.flying", static_cast<double>(parts_.dispatcher.flying()));
-        meters.level("brasslift.journal.size", static_cast<double>(parts_.journal.size()));
+        meters.level("brasslift.journal.size", static_cast<double>(parts_.store.room().used));
         meters.level("brasslift.connections.downstream", static_cast<double>(parts_.server.open()));
         meters.level("brasslift.connections.upstream_idle", static_cast<double>(parts_.pool.idle()));
         meters.windows(parts_.dispatcher.windows());
--- a/src/commands/watch.hpp
+++ b/src/commands/watch.hpp
@@ -6,7 +6,6 @@
 #include "config/config.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "downstream/server.hpp"
-#include "journal/log.hpp"
 #include "telemetry/telemetry.hpp"
 #include "upstream/pool.hpp"
 
@@ -19,7 +18,7 @@
         const config::Config& config;
         dispatch::Dispatcher& dispatcher;
         dispatch::Ledger& ledger;
-        journal::Log& journal;
+        store::Store& store;
         downstream::Server& server;
         upstream::Pool& pool;
     };
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -6,6 +6,11 @@
 #include "dispatch/dispatcher.hpp"
 
 namespace brasslift::dispatch {
+namespace {
+
+constexpr double full_pause_ms = 500;  // as the core's other refusals for want of room
+
+}  // namespace
 
 void Dispatcher::plan_by(std::shared_ptr<const plan::Plan> plan) {
     now_ = scheduler_.now();
@@ -87,6 +92,62 @@
     calls.back().parcels.push_back(std::move(parcel));
 }
 
+void Dispatcher::when_durable(std::function<void(bool)> act) {
+    if (durable_ == nullptr) return act(true);
+    if (durable_->failed()) return act(false);
+    const auto version = ledger_.written();
+    if (waiting_.empty() && durable_->reached(version)) return act(true);
+    waiting_.push_back({version, std::move(act)});
+    durable_->want();
+}
+
+void Dispatcher::release_durable() {
+    while (!waiting_.empty() && (durable_->failed() || durable_->reached(waiting_.front().version))) {
+        const auto act = std::move(waiting_.front().act);
+        waiting_.pop_front();
+        act(!durable_->failed());
+    }
+    if (!waiting_.empty()) durable_->want();
+}
+
+// To its host, once the record that it may have run is durable.
+void Dispatcher::hand_over(Call call) {
+    if (durable_ == nullptr) return upstream_.call(std::move(call));
+    when_durable([this, call = std::make_shared<Call>(std::move(call))](bool durable) {
+        // What never left: its record could not be kept, or its client went before the answer.
+        std::erase_if(call->parcels, [&](const Parcel& parcel) {
+            const auto* const m = ledger_.find(parcel.id);
+            const bool over = m == nullptr || m->ending != Ending::none;
+            if (durable && !over) return false;
+            Verdict verdict;
+            verdict.id = parcel.id;
+            verdict.host = call->host;
+            verdict.attempt = parcel.attempt;
+            verdict.result = Result::moot;
+            verdict.over = over;
+            mailbox_.put(verdict);
+            return true;
+        });
+        if (!call->parcels.empty()) upstream_.call(std::move(*call));
+    });
+}
+
+void Dispatcher::answer_taken(MessageId id, std::weak_ptr<Client> to) {
+    when_durable([this, id, to = std::move(to)](bool durable) {
+        const auto client = to.lock();
+        if (durable && client && client->present()) return client->answer({Reply::taken, 0, id});
+        if (client) client->answer({Reply::full, full_pause_ms, 0});
+        // Nobody was told that it was taken on: it must not run. Its call, if one was decided, waits behind
+        // this.
+        auto* const m = ledger_.find(id);
+        if (m == nullptr || m->ending != Ending::none) return;
+        const auto name = m->name;
+        ledger_.end(*m, Ending::done, 0);
+        withdraw(id, durable ? Refusal::gone : Refusal::journal);
+        forget(name);
+    });
+}
+
 // A message of a capped call has landed; the last one makes room for what waits.
 void Dispatcher::landed(MessageId id, int attempt) {
     const auto found = open_.find(id);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -4,15 +4,12 @@
 #include <cmath>
 
 #include "runtime/log.hpp"
+#include "store/format.hpp"
 
 namespace brasslift::dispatch {
 namespace {
 
 constexpr double full_pause_ms = 500;  // advice where the holding room or the journal is full
-// So many ids that were taken on of late are remembered past their end, for as long as a message may live:
-// one that is handed in under such an id again is no new message, and may not run a second time.
-constexpr std::size_t most_remembered = 4096;
-constexpr double remembered_ms = 30000;
 
 // Tells one tenant's keys and prints from another's.
 std::size_t salt_of(std::uint16_t tenant) { return (std::size_t{tenant} + 1) * 0x9e3779b97f4a7c15U; }
@@ -37,13 +34,17 @@
     on(known);
     // What discovery has said since comes before the first send: a host may have left in the meantime.
     for (auto& letter : mailbox_.take_all()) std::visit([this](auto& l) { on(l); }, letter);
+    for (const auto& seen : ledger_.seen()) {
+        const Time until = seen.wall - wall_offset_ + remembered_ms;
+        if (until > now_) remember(seen.name, seen.print, std::min(until, now_ + remembered_ms));
+    }
     for (auto& [id, m] : ledger_.all()) {
         Submission as_handed_in;
         as_handed_in.key = m.key;
         as_handed_in.message_class = m.message_class;
         as_handed_in.destination = m.destination;
         as_handed_in.body = m.body;
-        remember(m.name, print_of(as_handed_in));
+        if (m.ending == Ending::none) remember(m.name, print_of(as_handed_in));
         if (m.ending != Ending::none) {
             outbox_.tell({m.id, m.name, m.ending, m.again_ms});
             continue;
@@ -113,7 +114,7 @@
     }
     withdrawn_.clear();
     for (auto& [route, calls] : calls_)
-        for (auto& call : calls) upstream_.call(std::move(call));
+        for (auto& call : calls) hand_over(std::move(call));
     calls_.clear();
     if (!actions_.empty()) perform();  // what withdrawals led to
 }
@@ -208,16 +209,26 @@
 }
 
 std::size_t Dispatcher::print_of(const Submission& s) {
-    const std::hash<std::string_view> hash;
-    std::size_t print = hash(*s.body);
-    for (const std::size_t part : {hash(s.key), std::size_t{s.message_class}, std::size_t{s.destination}})
+    // It outlasts the process, so its hash is one whose values are written down.
+    std::size_t print = store::hash_of(*s.body);
+    for (const std::size_t part :
+         {std::size_t{store::hash_of(s.key)}, std::size_t{s.message_class}, std::size_t{s.destination}})
         print = print * 1099511628211U ^ part;
     return print;
 }
 
 void Dispatcher::remember(const std::string& name, std::size_t print) {
+    remember(name, print, now_ + remembered_ms);
+}
+
+void Dispatcher::remember(const std::string& name, std::size_t print, Time until) {
     ids_.insert_or_assign(name, print);
-    remembered_.emplace_back(now_ + remembered_ms, name);
+    remembered_.emplace_back(until, name);
+}
+
+void Dispatcher::forget(const std::string& name) {
+    ids_.erase(name);
+    ledger_.forget_name(name);
 }
 
 // The oldest go first; one that is still owed keeps its place.
@@ -241,13 +252,17 @@
         if (observer_ != nullptr) candidate.message.mark = observer_->begins(now_, id, seen_of(candidate));
         if (!client) {
             withdraw(id, Refusal::gone);
-        } else if (const auto* const m = ledger_.take(std::move(candidate.message)); m == nullptr) {
+        } else if (const auto* const m = ledger_.take(std::move(candidate.message), candidate.print);
+                   m == nullptr) {
             client->answer({Reply::full, full_pause_ms, 0});
             withdraw(id, Refusal::journal);
         } else {
             remember(name, candidate.print);
-            client->answer({Reply::taken, 0, id});
             if (observer_ != nullptr) observer_->taken(now_, *m);
+            if (durable_ == nullptr)
+                client->answer({Reply::taken, 0, id});
+            else
+                answer_taken(id, candidate.client);
         }
     }
 }
@@ -263,6 +278,8 @@
 void Dispatcher::on(const Untold& untold) {
     auto* const m = ledger_.find(untold.id);
     if (m == nullptr || m->ending != Ending::none) return;
+    // Where nothing has gone out its client may hand it in again under the same id.
+    if (m->attempts == 0) forget(m->name);
     ledger_.end(*m, Ending::done, 0);
     if (gate_) gate_->undo(untold.id);
     if (observer_ != nullptr) observer_->abandoned(now_, untold.id, Refusal::gone);
@@ -381,7 +398,10 @@
     let_go(m.id);
     if (observer_ != nullptr) observer_->ended(now_, m, ending, again);
     ledger_.end(m, ending, again);
-    outbox_.tell({m.id, m.name, ending, again});
+    when_durable([this, notice = Notice{m.id, m.name, ending, again}](bool durable) {
+        // Where it will not be, the next start tells it, or tells of what became of the message then.
+        if (durable) outbox_.tell(notice);
+    });
 }
 
 std::map<std::uint16_t, double> Dispatcher::windows() const {
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
 
+#include "dispatch/durable.hpp"
 #include "dispatch/ledger.hpp"
 #include "dispatch/observer.hpp"
 #include "dispatch/types.hpp"
@@ -25,6 +27,8 @@
     void plan_by(std::shared_ptr<const plan::Plan> plan);
     // Who is told of messages' lives from now on; nullptr: nobody.
     void watch_by(Observer* observer) { observer_ = observer; }
+    // What a record permits waits from now on until the record is durable; nullptr: until it is written.
+    void sync_by(Durable* durable) { durable_ = durable; }
     // The calls at a time that the module's windows allow, by destination.
     std::map<std::uint16_t, double> windows() const;
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
@@ -51,6 +55,7 @@
     void on(const Listed& listed);
     void on(const Told& told);
     void on(const Stop& stop);
+    void on(const Synced&) { release_durable(); }
     void on(const Planned& planned) { plan_by(planned.plan); }
 
     // Calls of a pool to a host, where the pool caps them.
@@ -59,6 +64,11 @@
         Route route;
         std::size_t left = 0;  // messages that have not landed
     };
+    // What waits until all that has been written is durable; `act` is told whether it came to be.
+    struct Waiting {
+        store::Version version = 0;
+        std::function<void(bool)> act;
+    };
     struct Parked {  // an attempt that waits until its host has room for a call
         Attempt attempt;
         Time until = 0;
@@ -84,6 +94,8 @@
     // Not taken on after all, and the module is told.
     void withdraw(MessageId id, Refusal why);
     void remember(const std::string& name, std::size_t print);
+    void remember(const std::string& name, std::size_t print, Time until);
+    void forget(const std::string& name);
     void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
     void let_go(MessageId id);
@@ -93,6 +105,10 @@
     void unpark(const Route& route);
     void expire_parked();
     void not_sent(const Attempt& attempt, int number, bool over);
+    void when_durable(std::function<void(bool)> act);
+    void release_durable();
+    void hand_over(Call call);
+    void answer_taken(MessageId id, std::weak_ptr<Client> client);
     void not_sent(const Attempt& attempt);  // as its message stands
 
     runtime::Scheduler& scheduler_;
@@ -104,6 +120,8 @@
     Upstream& upstream_;
     Outbox& outbox_;
     Observer* observer_ = nullptr;
+    Durable* durable_ = nullptr;
+    std::deque<Waiting> waiting_;
     Time now_ = 0;
     double wall_offset_ = 0;  // wall clock less steady clock
     std::vector<Action> actions_;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -1,189 +1,152 @@
 #include "dispatch/ledger.hpp"
 
 #include <algorithm>
-#include <cstring>
 
+#include "dispatch/old_journal.hpp"
 #include "runtime/log.hpp"
 
 namespace brasslift::dispatch {
 namespace {
 
-// Of the log's half, what messages may fill; the rest is for their attempts, outcomes and ends.
-constexpr double room_share = 0.6;
-
-enum class Kind : char { accept = 'A', attempt = 'S', outcome = 'O', end = 'E', told = 'T' };
-
-class Writer {
-public:
-    explicit Writer(Kind kind, MessageId id) : bytes_(1, static_cast<char>(kind)) { number(id); }
-    template <class T>
-    Writer& number(T value) {
-        bytes_.append(reinterpret_cast<const char*>(&value), sizeof value);
-        return *this;
-    }
-    Writer& text(std::string_view value) {
-        number(static_cast<std::uint32_t>(value.size()));
-        bytes_ += value;
-        return *this;
-    }
-    std::string take() { return std::move(bytes_); }
-
-private:
-    std::string bytes_;
-};
-
-class Reader {
-public:
-    explicit Reader(std::string_view bytes) : bytes_(bytes) {}
-    template <class T>
-    T number() {
-        T value{};
-        if (bytes_.size() < sizeof value) {
-            good_ = false;
-            return value;
-        }
-        std::memcpy(&value, bytes_.data(), sizeof value);
-        bytes_.remove_prefix(sizeof value);
-        return value;
-    }
-    std::string text() {
-        const auto size = number<std::uint32_t>();
-        if (size > bytes_.size()) {
-            good_ = false;
-            return {};
-        }
-        std::string value(bytes_.substr(0, size));
-        bytes_.remove_prefix(size);
-        return value;
-    }
-    bool good() const { return good_; }
-
-private:
-    std::string_view bytes_;
-    bool good_ = true;
-};
+using store::Batch;
+using store::Purpose;
 
 bool harmless(Result result) {
     return result == Result::full || result == Result::connect_failed || result == Result::moot;
 }
 
-std::string accept_record(const Owed& m) {
-    Writer record(Kind::accept, m.id);
-    record.number(m.due_wall)
-        .number(m.message_class)
-        .number(m.tenant)
-        .number(m.destination)
-        .text(m.name)
-        .text(m.key)
-        .text(*m.body);
-    // Versions before read up to here and pass over what follows.
-    if (!m.mark.empty()) record.text(m.mark);
-    return record.take();
-}
+constexpr std::size_t carried_at_once = 256 * 1024;  // bytes in one batch
 
-std::string attempt_record(MessageId id, int attempts, double wall, std::uint16_t zone) {
-    return Writer(Kind::attempt, id).number(attempts).number(wall).number(zone).take();
-}
+}  // namespace
 
-std::string outcome_record(MessageId id, bool may_have_run) {
-    return Writer(Kind::outcome, id).number(static_cast<std::uint8_t>(may_have_run)).take();
+std::map<MessageId, Owed> owed_in(const store::Store& store) {
+    std::map<MessageId, Owed> all;
+    const auto pass = [](std::string_view) {};
+    Messages::each(
+        store, [&](MessageId id, Owed m, const store::Entry&) { (all[id] = std::move(m)).id = id; }, pass);
+    Progresses::each(
+        store,
+        [&](MessageId id, const Owed& p, const store::Entry&) {
+            const auto found = all.find(id);
+            if (found == all.end()) return;
+            auto& m = found->second;
+            m.attempts = p.attempts;
+            m.flying = p.flying;
+            m.may_have_run = p.may_have_run;
+            m.sent_wall = p.sent_wall;
+            m.sent_zone = p.sent_zone;
+            m.risky_wall = p.risky_wall;
+            m.risky_zone = p.risky_zone;
+        },
+        pass);
+    Notices::each(
+        store,
+        [&](MessageId id, const Notice& notice, const store::Entry&) {
+            auto& m = all[id];
+            m.id = id;
+            m.name = notice.name;
+            m.ending = notice.ending;
+            m.again_ms = notice.again_ms;
+            m.flying = false;
+            if (!m.body) m.body = std::make_shared<const std::string>();
+        },
+        pass);
+    return all;
 }
 
-std::string end_record(const Owed& m) {
-    return Writer(Kind::end, m.id).number(m.ending).number(m.again_ms).take();
-}
+Ledger::Ledger(store::Store& store, std::function<double()> wall) : store_(store), wall_(std::move(wall)) {}
 
-// A message's whole history in as few records as say it.
-std::vector<std::string> history(const Owed& m) {
-    std::vector<std::string> records{accept_record(m)};
-    if (m.may_have_run) {
-        records.push_back(attempt_record(m.id, m.attempts, m.risky_wall, m.risky_zone));
-        records.push_back(outcome_record(m.id, true));
+bool Ledger::recover(const store::Report& found) {
+    messages_ = owed_in(store_);
+    const auto unreadable = [&](std::string_view key) {
+        runtime::log("store", "a record of message %llu cannot be read",
+                     static_cast<unsigned long long>(store::number_of(key).value_or(0)));
+    };
+    std::size_t suspects = 0, orphans = 0;
+    std::vector<MessageId> strays;
+    const auto below = found.suspect_below;
+    Messages::each(
+        store_, [](auto, const auto&, const auto&) {}, unreadable);
+    Progresses::each(
+        store_,
+        [&](MessageId id, const Owed&, const store::Entry&) {
+            if (Messages::find(store_, id) == nullptr) strays.push_back(id);
+        },
+        unreadable);
+    for (const auto id : strays) {
+        // Its message is lost with its client's id: nobody can be told but the operator.
+        ++orphans;
+        Batch batch;
+        Progresses::erase(batch, id);
+        if (!write(batch, Purpose::owed)) return false;
     }
-    if (m.attempts > 0 && (m.flying || !m.may_have_run)) {
-        records.push_back(attempt_record(m.id, m.attempts, m.sent_wall, m.sent_zone));
-        if (!m.flying) records.push_back(outcome_record(m.id, false));
+    for (auto& [id, m] : messages_) {
+        last_id_ = std::max(last_id_, id);
+        // An attempt without an outcome was out when the process ended: it may have run.
+        m.cut = m.flying;
+        if (m.flying) note_risk(m);
+        if (m.ending != Ending::none) continue;
+        names_.insert(m.name);
+        ++held_;
+        const auto* const accept = Messages::find(store_, id);
+        const auto* const progress = Progresses::find(store_, id);
+        const auto newest = progress == nullptr ? accept->version : progress->version;
+        if (!below || !store::older(newest, *below)) continue;
+        // What may have been lost behind its newest record may have been that it went out.
+        suspect(m, static_cast<double>(accept->stamp));
+        ++suspects;
+        if (!write(state_of(m), Purpose::owed)) return false;
     }
-    if (m.ending != Ending::none) records.push_back(end_record(m));
-    return records;
+    if (!found.sound())
+        runtime::log("store",
+                     "%zu messages count as ones that may have run; %zu are lost, their attempts known",
+                     suspects, orphans);
+    store_.settle();
+    return true;
 }
 
-void note_risk(Owed& m) {
+// Nothing is known of when and where it went but that it was not before it was taken on.
+void Ledger::suspect(Owed& m, double since) {
+    m.attempts = std::max(m.attempts, 1);
     m.flying = false;
     if (m.may_have_run) return;
     m.may_have_run = true;
-    m.risky_wall = m.sent_wall;
-    m.risky_zone = m.sent_zone;
+    m.sent_wall = m.risky_wall = since;
+    m.sent_zone = m.risky_zone = unknown_zone;
 }
 
-}  // namespace
-
-void Ledger::replay(std::string_view record, std::map<MessageId, Owed>& into) {
-    Reader in(record);
-    const auto kind = static_cast<Kind>(in.number<char>());
-    const auto id = in.number<MessageId>();
-    if (kind == Kind::accept) {
-        Owed m;
-        m.id = id;
-        m.due_wall = in.number<double>();
-        m.message_class = in.number<std::uint16_t>();
-        m.tenant = in.number<std::uint16_t>();
-        m.destination = in.number<std::uint16_t>();
-        m.name = in.text();
-        m.key = in.text();
-        m.body = std::make_shared<const std::string>(in.text());
-        m.bytes = journal::Log::framed(record.size());
-        if (!in.good()) return;
-        m.mark = in.text();  // empty where there is none, or no whole one
-        into[id] = std::move(m);
-        return;
-    }
-    const auto found = into.find(id);
-    if (found == into.end()) return;
-    auto& m = found->second;
-    m.bytes += journal::Log::framed(record.size());
-    switch (kind) {
-        case Kind::attempt:
-            m.attempts = in.number<int>();
-            m.sent_wall = in.number<double>();
-            m.sent_zone = in.number<std::uint16_t>();
-            m.flying = true;
-            break;
-        case Kind::outcome:
-            if (in.number<std::uint8_t>() != 0) note_risk(m);
-            m.flying = false;
-            break;
-        case Kind::end:
-            m.ending = in.number<Ending>();
-            m.again_ms = in.number<std::uint32_t>();
-            m.flying = false;
-            if (m.ending == Ending::done) into.erase(found);
-            break;
-        case Kind::told: into.erase(found); break;
-        case Kind::accept: break;
-    }
-}
-
-bool Ledger::recover() {
-    MessageId highest = 0;
-    const bool opened = log_.open([&](std::string_view record) {
-        if (record.size() >= 9) {
-            MessageId id = 0;
-            std::memcpy(&id, record.data() + 1, sizeof id);
-            highest = std::max(highest, id);
+bool Ledger::carry_over(store::Files& files) {
+    Batch done;
+    done.erase(meta_keyspace, carried_key);
+    if (!any_old_journal(files)) return write(done, Purpose::owed);
+    if (store_.index().find(meta_keyspace, carried_key) == nullptr) {
+        std::map<MessageId, Owed> old;
+        if (read_old_journal(files, old)) {
+            Batch batch;
+            std::size_t bytes = 0;
+            for (auto& [id, m] : old) {
+                if (m.ending != Ending::none) {
+                    Notices::put(batch, id, {id, m.name, m.ending, m.again_ms}, stamp());
+                } else {
+                    Messages::put(batch, id, m, stamp());
+                    if (m.attempts > 0) Progresses::put(batch, id, m, stamp());
+                }
+                bytes += m.body->size() + m.name.size() + m.key.size() + 128;
+                if (bytes < carried_at_once) continue;
+                if (!write(std::exchange(batch, {}), Purpose::owed)) return false;
+                bytes = 0;
+            }
+            if (!batch.empty() && !write(batch, Purpose::owed)) return false;
+            runtime::log("store", "%zu messages were carried over from the journal", old.size());
         }
-        replay(record, messages_);
-    });
-    last_id_ = highest;
-    for (auto& [id, m] : messages_) {
-        // An attempt without an outcome was out when the process ended: it may have run.
-        m.cut = m.flying;
-        if (m.flying) note_risk(m);
-        live_ += m.bytes;
-        if (m.ending == Ending::none) names_.insert(m.name);
-        held_ += m.ending == Ending::none ? 1 : 0;
+        // Until this stands, a start that was cut short is made again from the journal, which is still whole.
+        Batch whole;
+        whole.put(meta_keyspace, carried_key, "1", stamp());
+        if (!write(whole, Purpose::owed)) return false;
     }
-    return opened;
+    remove_old_journal(files);
+    store_.count_others();
+    return !any_old_journal(files) && write(done, Purpose::owed);
 }
 
 Owed* Ledger::find(MessageId id) {
@@ -191,74 +154,87 @@
     return found == messages_.end() ? nullptr : &found->second;
 }
 
-void Ledger::compact() {
-    std::vector<std::string> records;
-    live_ = 0;
-    for (auto& [id, m] : messages_) {
-        m.bytes = 0;
-        for (auto& record : history(m)) {
-            m.bytes += journal::Log::framed(record.size());
-            records.push_back(std::move(record));
-        }
-        live_ += m.bytes;
-    }
-    if (log_.rewrite(records)) late_.clear();
+std::vector<Ledger::SeenId> Ledger::seen() const {
+    std::vector<SeenId> ids;
+    SeenIds::each(
+        store_,
+        [&](const std::string& name, std::uint64_t print, const store::Entry& entry) {
+            ids.push_back({name, print, static_cast<double>(entry.stamp)});
+        },
+        [](std::string_view) {});
+    std::sort(ids.begin(), ids.end(), [](const SeenId& a, const SeenId& b) { return a.wall < b.wall; });
+    return ids;
 }
 
 bool Ledger::flush_late() {
-    std::size_t done = 0;
-    while (done < late_.size() && log_.append(late_[done])) ++done;
-    late_.erase(late_.begin(), late_.begin() + static_cast<std::ptrdiff_t>(done));
-    return late_.empty();
+    while (!late_.empty()) {
+        if (!store_.write(late_.begin()->second, Purpose::owed)) return false;
+        late_.erase(late_.begin());
+    }
+    return true;
 }
 
-bool Ledger::write(const std::string& record) {
-    if (log_.wants_rewrite(record.size())) compact();
-    return flush_late() && log_.append(record);
+bool Ledger::write(const Batch& batch, Purpose purpose) {
+    if (!flush_late()) return false;
+    const auto written = store_.write(batch, purpose);
+    if (!written && written.fault != store::Fault::no_room)
+        runtime::log("store", "a record could not be written: %s", store_.why().c_str());
+    return static_cast<bool>(written);
 }
 
-// What has happened cannot be refused: kept, and written before anything else is.
-void Ledger::write_surely(std::string record) {
-    if (!write(record)) late_.push_back(std::move(record));
+// What has happened cannot be refused: kept, and written before anything else is. Each batch says all that a
+// message has come to, so the latest one stands for those before it.
+void Ledger::write_surely(MessageId id, Batch batch) {
+    late_.insert_or_assign(id, std::move(batch));
+    if (!flush_late() && late_.size() == 1)
+        runtime::log("store", "a record waits until it can be written: %s", store_.why().c_str());
 }
 
-Owed* Ledger::take(Owed message) {
-    const auto record = accept_record(message);
-    const auto size = journal::Log::framed(record.size());
+Batch Ledger::state_of(const Owed& m) const {
+    Batch batch;
+    if (m.ending == Ending::none) {
+        Progresses::put(batch, m.id, m, stamp());
+        return batch;
+    }
+    Messages::erase(batch, m.id);
+    Progresses::erase(batch, m.id);
+    if (m.ending == Ending::done)
+        Notices::erase(batch, m.id);
+    else
+        Notices::put(batch, m.id, {m.id, m.name, m.ending, m.again_ms}, stamp());
+    return batch;
+}
+
+Owed* Ledger::take(Owed message, std::uint64_t print) {
+    const auto id = message.id;
+    Batch batch;
+    Messages::put(batch, id, message, stamp());
+    SeenIds::put(batch, message.name, print, stamp());
     // Out of room is a local reply, never a folder over its limit.
-    if (static_cast<double>(live_ + size) > room_share * static_cast<double>(log_.half())) return nullptr;
-    if (!write(record)) return nullptr;
-    message.bytes = size;
-    live_ += size;
+    if (!write(batch, Purpose::fresh)) return nullptr;
     ++held_;
     names_.insert(message.name);
-    const auto id = message.id;
     return &messages_.insert_or_assign(id, std::move(message)).first->second;
 }
 
 bool Ledger::attempt(Owed& m, double wall, std::uint16_t zone) {
-    const auto record = attempt_record(m.id, m.attempts + 1, wall, zone);
-    if (!write(record)) return false;
-    m.bytes += journal::Log::framed(record.size());
-    live_ += journal::Log::framed(record.size());
-    ++m.attempts;
-    m.flying = true;
-    m.sent_wall = wall;
-    m.sent_zone = zone;
+    auto next = m;
+    ++next.attempts;
+    next.flying = true;
+    next.sent_wall = wall;
+    next.sent_zone = zone;
+    if (!write(state_of(next), Purpose::owed)) return false;
+    m = std::move(next);
     return true;
 }
 
 void Ledger::outcome(Owed& m, Result result) {
-    const bool risky = !harmless(result);
-    if (risky) note_risk(m);
+    if (!harmless(result)) note_risk(m);
     m.flying = false;
     if (m.ending != Ending::none) return drop_if_over(m.id);
     // A delivery's own record is its end.
     if (result == Result::ok) return;
-    auto record = outcome_record(m.id, risky);
-    m.bytes += journal::Log::framed(record.size());
-    live_ += journal::Log::framed(record.size());
-    write_surely(std::move(record));
+    write_surely(m.id, state_of(m));
 }
 
 void Ledger::end(Owed& m, Ending ending, std::uint32_t again_ms) {
@@ -267,25 +243,27 @@
     m.again_ms = again_ms;
     --held_;
     names_.erase(m.name);
-    auto record = end_record(m);
-    m.bytes += journal::Log::framed(record.size());
-    live_ += journal::Log::framed(record.size());
-    write_surely(std::move(record));
+    write_surely(m.id, state_of(m));
     drop_if_over(m.id);
 }
 
 void Ledger::told(MessageId id) {
     auto* const m = find(id);
-    if (m == nullptr) return;
-    if (m->ending == Ending::failed || m->ending == Ending::deferred) m->ending = Ending::done;
-    write_surely(Writer(Kind::told, id).take());
+    if (m == nullptr || m->ending == Ending::none) return;
+    m->ending = Ending::done;
+    write_surely(id, state_of(*m));
     drop_if_over(id);
 }
 
+void Ledger::forget_name(const std::string& name) {
+    Batch batch;
+    SeenIds::erase(batch, name);
+    write(batch, Purpose::owed);
+}
+
 void Ledger::drop_if_over(MessageId id) {
     const auto found = messages_.find(id);
     if (found == messages_.end() || found->second.ending != Ending::done || found->second.flying) return;
-    live_ -= std::min(live_, found->second.bytes);
     messages_.erase(found);
 }
 
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -1,48 +1,38 @@
-// The ledger of messages taken on: in memory, and in the journal before whatever a record permits.
+// The ledger of messages taken on: in memory, and in the store before whatever a record permits.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
 
-#include "dispatch/types.hpp"
-#include "journal/log.hpp"
+#include "dispatch/records.hpp"
+#include "store/store.hpp"
 
 namespace brasslift::dispatch {
 
-struct Owed {
-    MessageId id = 0;
-    std::string name, key;
-    std::uint16_t message_class = 0, tenant = 0, destination = 0;
-    double due_wall = 0;  // deadlines outlive the process, so they are kept by the wall clock
-    std::shared_ptr<const std::string> body;
-    int attempts = 0;
-    bool flying = false, may_have_run = false;
-    bool cut = false;                      // its latest attempt was out when an earlier life ended
-    double sent_wall = 0, risky_wall = 0;  // of the latest attempt; of the first that may have run
-    std::uint16_t sent_zone = 0, risky_zone = 0;
-    Ending ending = Ending::none;
-    std::uint32_t again_ms = 0;
-    std::size_t bytes = 0;  // that it takes in the journal
-    std::string mark;       // an observer's, kept with the message; empty: none
-};
-
 inline plan::Subject subject_of(const Owed& m) { return {m.message_class, m.tenant, m.destination}; }
 
 class Ledger {
 public:
-    explicit Ledger(journal::Log& log) : log_(log) {}
+    // `wall`: milliseconds of the Unix epoch.
+    Ledger(store::Store& store, std::function<double()> wall);
 
-    bool recover();
-    // Reads one record into a set of messages; used by recovery and by the inspection of a journal.
-    static void replay(std::string_view record, std::map<MessageId, Owed>& into);
+    // Reads what the store holds, which is open; `found` is what its start said. What may have been changed
+    // by damage counts as one that may have run, and is written so before anything else.
+    bool recover(const store::Report& found);
+    // Carries a journal of a version before over, whole, once; before recover(). False: it cannot, and is
+    // left.
+    bool carry_over(store::Files& files);
 
-    // Nothing where the journal has no room for it, or took no record.
-    Owed* take(Owed message);
+    // Nothing where the store has no room for it, or wrote nothing. `print`: tells the same request again.
+    Owed* take(Owed message, std::uint64_t print);
     bool attempt(Owed& message, double wall, std::uint16_t zone);
     void outcome(Owed& message, Result result);
     void end(Owed& message, Ending ending, std::uint32_t again_ms);
     void told(MessageId id);
+    // The message may be handed in anew under its id: it is as if it had never come.
+    void forget_name(const std::string& name);
 
     Owed* find(MessageId id);
     // Whether a message that a client handed in under that id is still owed its end.
@@ -51,21 +41,35 @@
     std::map<MessageId, Owed>& all() { return messages_; }
     MessageId next_id() const { return last_id_ + 1; }
     MessageId reserve_id() { return ++last_id_; }
-    std::size_t live_bytes() const { return live_; }
+    // The ids of earlier lives, oldest first, with the time that they were taken on.
+    struct SeenId {
+        std::string name;
+        std::uint64_t print = 0;
+        double wall = 0;
+    };
+    std::vector<SeenId> seen() const;
+    // The version behind everything written so far.
+    store::Version written() const { return store_.next(); }
 
 private:
-    bool write(const std::string& record);
-    void write_surely(std::string record);
+    bool write(const store::Batch& batch, store::Purpose purpose);
+    void write_surely(MessageId id, store::Batch batch);
     bool flush_late();
     void drop_if_over(MessageId id);
-    void compact();
+    store::Stamp stamp() const { return static_cast<store::Stamp>(wall_()); }
+    store::Batch state_of(const Owed& message) const;
+    void suspect(Owed& message, double since);
 
-    journal::Log& log_;
+    store::Store& store_;
+    std::function<double()> wall_;
     std::map<MessageId, Owed> messages_;
     std::set<std::string> names_;
-    std::vector<std::string> late_;  // records that could not be written yet
-    std::size_t held_ = 0, live_ = 0;
+    std::map<MessageId, store::Batch> late_;  // what could not be written yet, whole states
+    std::size_t held_ = 0;
     MessageId last_id_ = 0;
 };
 
+// What a store says is owed, told or not; for listings. Changes nothing.
+std::map<MessageId, Owed> owed_in(const store::Store& store);
+
 }  // namespace brasslift::dispatch
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -120,7 +120,10 @@
     std::shared_ptr<const plan::Plan> plan;
 };
 
-using Letter = std::variant<Submission, Untold, Verdict, Listed, Told, Stop, Planned>;
+// More of what was written is durable, or will never be.
+struct Synced {};
+
+using Letter = std::variant<Submission, Untold, Verdict, Listed, Told, Stop, Planned, Synced>;
 
 // The ports that a front fills.
 class Upstream {
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -39,6 +39,7 @@
     policies();
     bounds();
     telemetry();
+    store();
     if (findings_.any_errors()) return std::move(rules_);  // what would be told now might follow from them
     unused();
     overlaps();
--- a/src/lang/compiler.hpp
+++ b/src/lang/compiler.hpp
@@ -118,6 +118,7 @@
     void bounds();
 
     void telemetry();
+    void store();
     void headers(const v1::Telemetry& t, plan::TelemetryRule& rule);
 
     void unused();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,14 +15,16 @@
 #include "cluster/notices.hpp"
 #include "commands/config_command.hpp"
 #include "commands/platform.hpp"
+#include "commands/store_command.hpp"
 #include "commands/watch.hpp"
 #include "config/config.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/ledger.hpp"
 #include "downstream/server.hpp"
-#include "journal/log.hpp"
 #include "runtime/log.hpp"
 #include "runtime/scheduler.hpp"
+#include "store/keeper.hpp"
+#include "store/store.hpp"
 #include "upstream/pool.hpp"
 
 namespace {
@@ -35,7 +37,7 @@
 constexpr double untold_ms = 3600;
 // The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
 constexpr double fresh_list_ms = 100;
-// The folder's limit counts in millions of bytes here; the log and its copy stay well under it.
+// The folder's limit counts in millions of bytes here; the store stays well under it.
 constexpr double disk_share = 0.8;
 
 std::size_t part_of(double whole, double part) { return static_cast<std::size_t>(whole * part); }
@@ -139,6 +141,50 @@
     scheduler.stop();
 }
 
+store::Options store_options(const config::Config& config, const std::shared_ptr<const plan::Plan>& plan) {
+    const auto rule = plan ? plan->rules().store : plan::StoreRule{};
+    store::Options options;
+    options.budget = static_cast<std::uint64_t>(config.disk_mb * 1e6 * disk_share);
+    options.durability = rule.durability == plan::StoreRule::Durability::none   ? store::Durability::none
+                         : rule.durability == plan::StoreRule::Durability::each ? store::Durability::each
+                                                                                : store::Durability::interval;
+    options.compress = rule.compress;
+    options.id = config.seed;
+    options.keyspaces = dispatch::ledger_keyspaces();
+    return options;
+}
+
+double sync_interval(const std::shared_ptr<const plan::Plan>& plan) {
+    return plan ? plan->rules().store.interval_ms : 0;
+}
+
+// The store's actor as the core's port; neither knows the other.
+class Syncs : public dispatch::Durable {
+public:
+    explicit Syncs(store::Keeper& keeper) : keeper_(keeper) {}
+    bool reached(store::Version version) const override { return keeper_.reached(version); }
+    bool failed() const override { return keeper_.failed(); }
+    void want() override { keeper_.want(); }
+
+private:
+    store::Keeper& keeper_;
+};
+
+// What outlasted the last process. What could not be read is told here.
+void recover(store::Store& store, dispatch::Ledger& ledger, store::Files& files) {
+    store::Report report;
+    const auto now = static_cast<store::Stamp>(runtime::wall_now());
+    if (const auto fault = store.open(now, report); fault != store::Fault::none)
+        throw std::runtime_error("the store cannot be opened: " + store.why());
+    for (const auto& finding : report.findings)
+        runtime::log("store", "%s: %s (%llu bytes)",
+                     finding.number == 0 ? "store" : store::segment_name(finding.number).c_str(),
+                     finding.why.c_str(), static_cast<unsigned long long>(finding.bytes));
+    if (!ledger.carry_over(files))
+        throw std::runtime_error("the journal cannot be carried over: " + store.why());
+    if (!ledger.recover(report)) throw std::runtime_error("the store takes no records: " + store.why());
+}
+
 int serve(const std::string& operators) {
     const auto config = config::load_config();
     const auto plan = commands::load_plan(operators, config);
@@ -150,10 +196,11 @@
     runtime::Scheduler scheduler;
     runtime::Waker signalled(scheduler);
     const Signals signals(scheduler, signalled);  // from here on a signal waits until it can be served
-    const auto half = static_cast<std::size_t>(config.disk_mb * 1e6 * disk_share / 2);
-    journal::Log log(config.state_folder, half);
-    dispatch::Ledger ledger(log);
-    if (!ledger.recover()) throw std::runtime_error("the journal cannot be opened");
+    const auto files = store::files_in(config.state_folder);
+    store::Store store(*files, store_options(config, plan));
+    dispatch::Ledger ledger(store, runtime::wall_now);
+    recover(store, ledger, *files);
+    store::Keeper keeper(scheduler, store, *files, sync_interval(plan));
 
     upstream::PoolSettings limits;
     limits.dial_timeout_ms = config.dial_timeout_ms;
@@ -173,7 +220,7 @@
     server.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
 
-    commands::Watch watch({scheduler, config, dispatcher, ledger, log, server, pool}, BRASSLIFT_VERSION);
+    commands::Watch watch({scheduler, config, dispatcher, ledger, store, server, pool}, BRASSLIFT_VERSION);
     watch.follow(plan ? &plan->rules() : nullptr);
 
     if (!server.listen(*listen)) throw std::runtime_error("cannot listen on " + config.listen);
@@ -187,6 +234,10 @@
         scheduler.run_until(runtime::steady_now() + 2);
     if (plan) dispatcher.plan_by(plan);
     dispatcher.recover(first);
+    Syncs syncs(keeper);
+    if (store.options().durability != store::Durability::none) dispatcher.sync_by(&syncs);
+    keeper.tell_to([&] { core.put(dispatch::Synced{}); });
+    scheduler.spawn(keeper.run());
     scheduler.spawn(dispatcher.run());
     scheduler.spawn(notices.run());
     server.ready(true);  // all that is owed is known; connections that came meanwhile wait in the queue
@@ -214,40 +265,13 @@
     return 0;
 }
 
-const char* standing_of(const dispatch::Owed& m) {
-    switch (m.ending) {
-        case dispatch::Ending::failed: return "undeliverable, notice not yet taken";
-        case dispatch::Ending::deferred: return "deferred, notice not yet taken";
-        default: break;
-    }
-    return m.flying ? "owed, an attempt is out" : m.may_have_run ? "owed, an attempt may have run" : "owed";
-}
-
-// Lists what a journal says is owed; changes nothing, so it may be used beside a running dispatcher.
-int inspect_journal(std::string folder) {
-    if (const char* const state = std::getenv("PROXY_STATE"); folder.empty() && state != nullptr)
-        folder = state;
-    std::map<MessageId, dispatch::Owed> messages;
-    std::size_t records = 0;
-    const bool found = journal::Log::inspect(folder, [&](std::string_view record) {
-        ++records;
-        dispatch::Ledger::replay(record, messages);
-    });
-    if (!found) throw std::runtime_error("no journal in '" + folder + "'");
-    const double now = runtime::wall_now();
-    for (const auto& [id, m] : messages)
-        std::printf("%s class %u dest %u attempts %d due in %.0f ms: %s\n", m.name.c_str(), m.message_class,
-                    m.destination, m.attempts, m.due_wall - now, standing_of(m));
-    std::printf("%zu records, %zu messages\n", records, messages.size());
-    return 0;
-}
-
 constexpr const char* commands_text =
     "usage: brasslift [COMMAND ...]\n"
     "  serve [--operator FILE]   dispatch messages (the default)\n"
     "  config COMMAND ...        check, format, compare and explain operators' files\n"
     "  check-config [FILE]       read a platform's config as a start would\n"
-    "  journal [FOLDER]          what a journal says is owed\n"
+    "  store COMMAND ...         look into a store, check, compact, copy and restore it\n"
+    "  journal [FOLDER]          what a store says is owed\n"
     "  version\n"
     "Each has its own --help.\n";
 
@@ -294,13 +318,14 @@
         });
     }
     if (command == "config") return commands::config(argc, argv);
+    if (command == "store") return commands::store(argc, argv);
     if (command == "version") return std::printf("brasslift %s\n", BRASSLIFT_VERSION) < 0 ? 1 : 0;
     if (command == "check-config")
         return with_argument("check-config", "Reads a platform's config as a start would.", "FILE", argc,
                              argv, check_config);
     if (command == "journal")
-        return with_argument("journal", "Lists what a journal says is owed; changes nothing.", "FOLDER", argc,
-                             argv, inspect_journal);
+        return with_argument("journal", "Lists what a store says is owed; changes nothing.", "FOLDER", argc,
+                             argv, commands::list_owed);
     std::fprintf(stderr, "brasslift: no command '%s'\n%s", command.c_str(), commands_text);
     return 2;
 }
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -108,6 +108,14 @@
     bool logs = true;
 };
 
+// How the store keeps what it is given; at the next start.
+struct StoreRule {
+    // What a machine's end may take: all since its start; nothing that was acknowledged (the other two).
+    enum class Durability : std::uint8_t { none, interval, each } durability = Durability::none;
+    double interval_ms = 10;
+    bool compress = false;
+};
+
 struct Rules {
     std::vector<PoolRule> pools;
     std::vector<RouteRule> routes;
@@ -115,6 +123,7 @@
     std::vector<PolicyRule> policies;
     Bounds bounds;
     std::optional<TelemetryRule> telemetry;
+    StoreRule store;
     bool json_log = false;
 };
 
--- a/src/store/recover.cpp
+++ b/src/store/recover.cpp
@@ -48,6 +48,8 @@
     if (manifest) segments = manifest->segments;
     for (const auto& entry : entries) {
         const auto number = number_of_segment(entry.name);
+        if (entry.name == restoring_name)
+            return fail(Fault::damaged, "a restore into this folder did not end: run it again");
         if (!number) continue;
         sizes[*number] = entry.size;
         const auto same = [&](const Listed& l) { return l.number == *number; };
@@ -147,6 +149,8 @@
     read_frames(segment, reading, to, report);
     segment.damaged = listed.damaged || !reading.head_good || reading.damaged > 0 || reading.spoilt_tail ||
                       reading.unreadable || reading.promised > reading.whole;
+    // Behind it another process may be writing.
+    if (options_.read_only && !segment.damaged) segment.size = reading.whole;
     return Fault::none;
 }
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -89,6 +89,13 @@
     return listed;
 }
 
+std::vector<Store::Extent> Store::extents() const {
+    std::vector<Extent> extents;
+    for (const auto& [number, s] : segments_)
+        extents.push_back({number, s.first, s.size, s.file.get(), s.damaged, live_of(number, s)});
+    return extents;
+}
+
 bool Store::install() {
     Job job;
     job.manifest = write_manifest(manifest());
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -105,6 +105,16 @@
     Room room() const;
     // The segments in order, each up to its present end.
     std::vector<Listed> segments() const;
+    // The same with the size of what counts in each, and its file.
+    struct Extent {
+        Number number = 0;
+        Version first = 0;
+        std::uint64_t size = 0;
+        const File* file = nullptr;
+        bool damaged = false;
+        std::uint64_t live = 0;
+    };
+    std::vector<Extent> extents() const;
     // Seals the segment that is written to.
     bool seal();
     // Other files of the folder that share the budget; counted anew.
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -192,16 +192,16 @@
               "");
 }
 
-// Bodies of 64 KiB fill the journal's room long before the holding room: a local reply, not an overrun.
+// Bodies of 64 KiB fill the store before the holding room: a local reply, not an overrun.
 TEST(Dispatcher, StaysWithinItsDisk) {
-    std::string script = "start\n";
+    std::string script = "start 0 0 1\n";
     for (int i = 0; i < 60; ++i) {
         const auto n = std::to_string(i);
-        script += "c1 post safe m" + n + " 400m 9 65000\nc1 expect HTTP/1.1 " + (i < 8 ? "202" : "") + "\n";
-        if (i == 15) script += "c1 expect Retry-After\nwait 500\nd expect deferred\nd answer 204\n";
-        if (i % 10 == 0) script += "folder-below 3000000\n";
+        script += "c1 post safe m" + n + " 400m 9 65000\nc1 expect HTTP/1.1 " + (i < 4 ? "202" : "") + "\n";
+        if (i == 8) script += "c1 expect Retry-After\nwait 500\nd expect deferred\nd answer 204\n";
+        if (i % 10 == 0) script += "folder-below 1000000\n";
     }
-    EXPECT_EQ(play(script + "folder-below 3000000\n"), "");
+    EXPECT_EQ(play(script + "folder-below 1000000\n"), "");
 }
 
 // Out of descriptors an idle client makes room for one that has something to hand in.
--- /dev/null
+++ b/tests/ledger_test.cpp
@@ -0,0 +1,450 @@
+// The ledger on a disk that fails: what is owed, what may have run, and journals of the version before.
+#include "dispatch/ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <zlib.h>
+
+#include <cerrno>
+
+#include "disk.hpp"
+#include "dispatch/old_journal.hpp"
+#include "store/snapshot.hpp"
+
+namespace brasslift::test {
+namespace {
+
+using namespace dispatch;
+using standins::Disk;
+using standins::Ended;
+
+constexpr double now = 1'000'000;
+
+// One life of a dispatcher's ledger.
+struct Life {
+    explicit Life(Disk& disk, std::uint64_t budget = 256 * 1024, std::uint64_t segment = 8192) {
+        store::Options options;
+        options.budget = budget;
+        options.segment = segment;
+        options.keyspaces = ledger_keyspaces();
+        files = disk.mount();
+        store = std::make_unique<store::Store>(*files, options);
+        opened = store->open(static_cast<store::Stamp>(now), report) == store::Fault::none;
+        ledger = std::make_unique<Ledger>(*store, [] { return now; });
+        carried = opened && ledger->carry_over(*files);
+        recovered = carried && ledger->recover(report);
+    }
+    Owed* take(const std::string& name) {
+        Owed m;
+        m.id = ledger->reserve_id();
+        m.name = name;
+        m.key = "key-" + name;
+        m.message_class = 2;
+        m.destination = 9;
+        m.due_wall = now + 4000;
+        m.body = std::make_shared<const std::string>("body of " + name);
+        return ledger->take(std::move(m), 77);
+    }
+    Owed* named(const std::string& name) {
+        for (auto& [id, m] : ledger->all())
+            if (m.name == name) return &m;
+        return nullptr;
+    }
+    std::unique_ptr<store::Files> files;
+    std::unique_ptr<store::Store> store;
+    store::Report report;
+    bool opened = false, carried = false, recovered = false;
+    std::unique_ptr<Ledger> ledger;
+};
+
+TEST(Ledger, KnowsInItsNextLifeWhatIsOwedAndHowFarItCame) {
+    Disk disk;
+    {
+        Life life(disk);
+        ASSERT_TRUE(life.recovered);
+        life.take("fresh");
+        auto* const out = life.take("out");
+        ASSERT_TRUE(life.ledger->attempt(*out, now + 1, 3));
+        auto* const refused = life.take("refused");
+        ASSERT_TRUE(life.ledger->attempt(*refused, now + 2, 4));
+        life.ledger->outcome(*refused, Result::full);
+        auto* const risky = life.take("risky");
+        ASSERT_TRUE(life.ledger->attempt(*risky, now + 3, 5));
+        life.ledger->outcome(*risky, Result::timeout);
+        ASSERT_TRUE(life.ledger->attempt(*risky, now + 9, 6));
+        life.ledger->outcome(*risky, Result::full);
+        auto* const done = life.take("done");
+        ASSERT_TRUE(life.ledger->attempt(*done, now + 3, 5));
+        life.ledger->outcome(*done, Result::ok);
+        life.ledger->end(*done, Ending::done, 0);
+        life.ledger->end(*life.take("failed"), Ending::failed, 0);
+        life.ledger->end(*life.take("deferred"), Ending::deferred, 700);
+        auto* const told = life.take("told");
+        life.ledger->end(*told, Ending::failed, 0);
+        life.ledger->told(told->id);
+    }
+    Life life(disk);
+    ASSERT_TRUE(life.recovered);
+    EXPECT_TRUE(life.report.sound());
+    EXPECT_EQ(life.ledger->held(), 4U);
+    EXPECT_EQ(life.ledger->all().size(), 6U);
+    EXPECT_EQ(*life.named("fresh")->body, "body of fresh");
+    EXPECT_EQ(life.named("fresh")->key, "key-fresh");
+    EXPECT_FALSE(life.named("fresh")->may_have_run);
+    EXPECT_TRUE(life.named("out")->cut);
+    EXPECT_TRUE(life.named("out")->may_have_run);
+    EXPECT_EQ(life.named("out")->risky_zone, 3);
+    EXPECT_EQ(life.named("refused")->attempts, 1);
+    EXPECT_FALSE(life.named("refused")->may_have_run);
+    EXPECT_EQ(life.named("risky")->attempts, 2);
+    EXPECT_EQ(life.named("risky")->risky_wall, now + 3);
+    EXPECT_EQ(life.named("risky")->risky_zone, 5);
+    EXPECT_EQ(life.named("failed")->ending, Ending::failed);
+    EXPECT_EQ(life.named("deferred")->again_ms, 700U);
+    EXPECT_EQ(life.named("told"), nullptr);
+    EXPECT_EQ(life.named("done"), nullptr);
+    // Ids are remembered past the end, in the next life too.
+    EXPECT_EQ(life.ledger->seen().size(), 8U);
+    EXPECT_GE(life.ledger->next_id(), 7U);
+}
+
+// What has happened waits until it can be written; what has not, does not happen.
+TEST(Ledger, RefusesWorkAndKeepsEndsWhileNothingCanBeWritten) {
+    Disk disk;
+    {
+        Life life(disk);
+        auto* const m = life.take("out");
+        ASSERT_TRUE(life.ledger->attempt(*m, now, 1));
+        auto* const other = life.take("other");
+        disk.follow([](std::size_t, Disk::Call call, const std::string&) {
+            return Disk::Fate{call == Disk::Call::append ? -ENOSPC : 0, false, false, false};
+        });
+        EXPECT_EQ(life.take("new"), nullptr);
+        EXPECT_FALSE(life.ledger->attempt(*other, now, 1));
+        EXPECT_EQ(other->attempts, 0);
+        life.ledger->outcome(*m, Result::full);
+        life.ledger->end(*m, Ending::failed, 0);
+        disk.follow({});
+        EXPECT_NE(life.take("later"), nullptr);
+    }
+    Life life(disk);
+    EXPECT_EQ(life.named("out")->ending, Ending::failed);
+    EXPECT_EQ(life.named("new"), nullptr);
+    EXPECT_NE(life.named("later"), nullptr);
+}
+
+// A record of an attempt that cannot be read any more: its message must not look unsent.
+TEST(Ledger, DamageMakesMessagesOnesThatMayHaveRun) {
+    Disk disk;
+    std::string segment;
+    std::size_t before = 0, behind = 0;
+    {
+        Life life(disk);
+        auto* const m = life.take("paid");
+        segment = store::segment_name(life.store->segments().back().number);
+        before = disk.names.at(segment)->bytes.size();
+        ASSERT_TRUE(life.ledger->attempt(*m, now, 1));
+        behind = disk.names.at(segment)->bytes.size();
+        life.take("taken on behind it");
+    }
+    for (auto at = before; at < behind; ++at) {
+        Disk spoilt = disk.copy();
+        spoilt.names.at(segment)->bytes[at] ^= 4;
+        for (int lives = 0; lives < 3; ++lives) {
+            Life life(spoilt);
+            ASSERT_TRUE(life.recovered);
+            ASSERT_TRUE(life.named("paid")->may_have_run) << at << " life " << lives;
+            EXPECT_GE(life.named("paid")->attempts, 1);
+            if (lives == 0) {
+                EXPECT_FALSE(life.report.sound());
+                EXPECT_EQ(life.named("paid")->risky_zone, unknown_zone);
+            }
+            // What came later cannot have had a record there.
+            EXPECT_FALSE(life.named("taken on behind it")->may_have_run);
+        }
+    }
+}
+
+// A crash between the start that finds damage and the records of what follows from it.
+TEST(Ledger, ACrashWhileDamageIsWrittenDownForgetsNothing) {
+    Disk disk;
+    std::string first;
+    {
+        Life life(disk);
+        for (int i = 0; i < 20; ++i) life.take("m" + std::to_string(i));
+        first = store::segment_name(life.store->segments().front().number);
+        auto* const m = life.named("m3");
+        ASSERT_TRUE(life.ledger->attempt(*m, now, 1));
+        life.store->seal();
+    }
+    auto& bytes = disk.names.at(first)->bytes;
+    bytes[bytes.size() - 5] ^= 1;  // in the record of the attempt
+    std::size_t calls = 0;
+    for (std::size_t at = 0; at == 0 || at < calls; ++at)
+        for (const bool behind : {false, true}) {
+            Disk spoilt = disk.copy();
+            spoilt.follow([&](std::size_t nth, Disk::Call, const std::string&) {
+                return Disk::Fate{0, false, nth == at && !behind, nth == at && behind};
+            });
+            try {
+                Life life(spoilt);
+                calls = std::max(calls, spoilt.calls());
+            } catch (const Ended&) {}
+            spoilt.follow({});
+            Life life(spoilt);
+            ASSERT_TRUE(life.recovered);
+            ASSERT_TRUE(life.named("m3")->may_have_run) << "call " << at;
+            EXPECT_EQ(life.ledger->held(), 20U);
+        }
+    EXPECT_GT(calls, 40U);
+}
+
+// Journals as the version before wrote them, by its description.
+class OldJournal {
+public:
+    OldJournal& accept(MessageId id, const std::string& name, const std::string& body) {
+        store::ValueWriter out;
+        out.number('A').number(id).number(now + 4000.0);
+        out.number(std::uint16_t{2}).number(std::uint16_t{0}).number(std::uint16_t{9});
+        return add(out.text(name).text("").text(body).take());
+    }
+    OldJournal& sent(MessageId id, int attempts) {
+        return add(store::ValueWriter()
+                       .number('S')
+                       .number(id)
+                       .number(attempts)
+                       .number(now)
+                       .number(std::uint16_t{3})
+                       .take());
+    }
+    OldJournal& outcome(MessageId id, bool risky) {
+        return add(
+            store::ValueWriter().number('O').number(id).number(static_cast<std::uint8_t>(risky)).take());
+    }
+    OldJournal& end(MessageId id, Ending ending, std::uint32_t again) {
+        return add(store::ValueWriter().number('E').number(id).number(ending).number(again).take());
+    }
+    std::string text = "dispatch-log-01\n";
+
+private:
+    OldJournal& add(const std::string& record) {
+        const std::uint32_t head[2] = {
+            static_cast<std::uint32_t>(record.size()),
+            static_cast<std::uint32_t>(
+                ::crc32(0, reinterpret_cast<const Bytef*>(record.data()), static_cast<uInt>(record.size())))};
+        text.append(reinterpret_cast<const char*>(head), sizeof head).append(record);
+        return *this;
+    }
+};
+
+OldJournal old_journal() {
+    OldJournal old;
+    old.accept(1, "fresh", "b1").accept(2, "out", "b2").sent(2, 1).accept(3, "risky", "b3").sent(3, 1);
+    old.outcome(3, true).accept(4, "done", "b4").sent(4, 1).end(4, Ending::done, 0).accept(5, "failed", "b5");
+    old.end(5, Ending::failed, 0).accept(6, "refused", "b6").sent(6, 2).outcome(6, false);
+    for (MessageId id = 10; id < 40; ++id) old.accept(id, "many" + std::to_string(id), std::string(400, 'x'));
+    return old;
+}
+
+void expect_carried(Life& life, const std::string& when) {
+    ASSERT_TRUE(life.recovered) << when;
+    EXPECT_EQ(life.ledger->held(), 34U) << when;
+    EXPECT_EQ(*life.named("fresh")->body, "b1") << when;
+    EXPECT_FALSE(life.named("fresh")->may_have_run) << when;
+    EXPECT_TRUE(life.named("out")->may_have_run) << when;
+    EXPECT_TRUE(life.named("risky")->may_have_run) << when;
+    EXPECT_EQ(life.named("refused")->attempts, 2) << when;
+    EXPECT_FALSE(life.named("refused")->may_have_run) << when;
+    EXPECT_EQ(life.named("failed")->ending, Ending::failed) << when;
+    EXPECT_EQ(life.named("done"), nullptr) << when;
+}
+
+Disk disk_with(const std::string& name, const std::string& text) {
+    Disk disk;
+    disk.names[name] = std::make_shared<Disk::Inode>(Disk::Inode{text, text});
+    return disk;
+}
+
+TEST(OldJournal, IsCarriedOverOnceAndGoes) {
+    auto disk = disk_with("journal.3", old_journal().text + "torn");
+    disk.names["journal.4.part"] = std::make_shared<Disk::Inode>();
+    disk.names["journal.2"] =
+        std::make_shared<Disk::Inode>(Disk::Inode{OldJournal().accept(9, "old", "b").text, ""});
+    {
+        Life life(disk);
+        expect_carried(life, "first");
+        EXPECT_FALSE(any_old_journal(*life.files));
+        life.ledger->end(*life.named("fresh"), Ending::done, 0);
+    }
+    {
+        Life life(disk);
+        EXPECT_EQ(life.ledger->held(), 33U);
+    }
+    // A version before that was started in between leaves another one, which is carried over too.
+    disk.names["journal.1"] =
+        std::make_shared<Disk::Inode>(Disk::Inode{OldJournal().accept(99, "between", "b").text, ""});
+    Life later(disk);
+    ASSERT_TRUE(later.recovered);
+    EXPECT_NE(later.named("between"), nullptr);
+    EXPECT_EQ(later.ledger->held(), 34U);
+}
+
+TEST(OldJournal, SurvivesAKillAtEveryCallOfItsCarryingOver) {
+    const auto text = old_journal().text;
+    std::size_t calls = 0;
+    for (std::size_t at = 0; at == 0 || at < calls; ++at)
+        for (const int how : {0, 1, 2}) {
+            auto disk = disk_with("journal.7", text);
+            disk.follow([&](std::size_t nth, Disk::Call, const std::string&) {
+                return Disk::Fate{0, nth == at && how == 2, nth == at && how == 0, nth == at && how != 0};
+            });
+            try {
+                Life life(disk);
+                calls = std::max(calls, disk.calls());
+            } catch (const Ended&) {}
+            disk.follow({});
+            Life life(disk);
+            expect_carried(life, "call " + std::to_string(at) + " how " + std::to_string(how));
+            if (HasFatalFailure()) return;
+        }
+    EXPECT_GT(calls, 20U);
+}
+
+TEST(OldJournal, StaysWhereTheStoreCannotTakeIt) {
+    auto disk = disk_with("journal.7", old_journal().text);
+    disk.follow([](std::size_t nth, Disk::Call call, const std::string& name) {
+        return Disk::Fate{call == Disk::Call::append && nth > 12 && name.starts_with("seg") ? -ENOSPC : 0,
+                          false, false, false};
+    });
+    {
+        Life life(disk);
+        EXPECT_FALSE(life.recovered);
+    }
+    disk.follow({});
+    EXPECT_EQ(disk.names.count("journal.7"), 1U);
+    Life life(disk);
+    expect_carried(life, "with room again");
+}
+
+TEST(Snapshot, OfAStoreInUseIsWholeAndConsistent) {
+    Disk disk, copy, back;
+    Life life(disk);
+    for (int i = 0; i < 50; ++i) life.take("m" + std::to_string(i));
+    store::Options options;
+    options.read_only = true;
+    options.keyspaces = ledger_keyspaces();
+    const auto files = disk.mount();
+    store::Store source(*files, options);
+    store::Report report;
+    ASSERT_EQ(source.open(1, report), store::Fault::none);
+    // Its process goes on, compacts, and removes what the snapshot is to have.
+    for (int i = 0; i < 50; ++i) life.ledger->end(*life.named("m" + std::to_string(i)), Ending::done, 0);
+    ASSERT_EQ(life.store->compact_all({}), store::Fault::none);
+    const auto to = copy.mount();
+    std::uint64_t last = 0;
+    const auto taken =
+        store::take_snapshot(source, *to, [&](std::uint64_t done, std::uint64_t) { last = done; });
+    ASSERT_EQ(taken.fault, store::Fault::none) << taken.why;
+    EXPECT_EQ(last, taken.bytes);
+    const auto into = back.mount();
+    ASSERT_EQ(store::restore_snapshot(*to, *into, {}).fault, store::Fault::none);
+    Disk restored = back.copy();
+    Life second(restored);
+    ASSERT_TRUE(second.recovered);
+    EXPECT_TRUE(second.report.sound());
+    EXPECT_EQ(second.ledger->held(), 50U);
+    EXPECT_NE(second.take("more"), nullptr);
+}
+
+TEST(Snapshot, ACrashAtEveryCallLeavesNoHalfSnapshotThatRestores) {
+    Disk disk;
+    Life life(disk);
+    for (int i = 0; i < 30; ++i) life.take("m" + std::to_string(i));
+    std::size_t calls = 0;
+    for (std::size_t at = 0; at == 0 || at < calls; ++at)
+        for (const bool behind : {false, true}) {
+            Disk copy, back;
+            copy.follow([&](std::size_t nth, Disk::Call, const std::string&) {
+                return Disk::Fate{0, false, nth == at && !behind, nth == at && behind};
+            });
+            bool whole = false;
+            try {
+                const auto to = copy.mount();
+                whole = store::take_snapshot(*life.store, *to, {}).fault == store::Fault::none;
+                calls = std::max(calls, copy.calls());
+            } catch (const Ended&) {}
+            copy.follow({});
+            copy.cut_power(at + 1);
+            const auto from = copy.mount();
+            bool restored = false;
+            {
+                const auto into = back.mount();
+                restored = store::restore_snapshot(*from, *into, {}).fault == store::Fault::none;
+            }
+            EXPECT_TRUE(restored || !whole);
+            if (!restored) continue;
+            Life second(back);
+            ASSERT_TRUE(second.recovered);
+            EXPECT_TRUE(second.report.sound());
+            ASSERT_EQ(second.ledger->held(), 30U) << at;
+        }
+    EXPECT_GT(calls, 10U);
+}
+
+TEST(Snapshot, ARestoreThatWasCutShortOpensNoStoreAndIsRunAgain) {
+    Disk disk, copy;
+    Life life(disk);
+    for (int i = 0; i < 30; ++i) life.take("m" + std::to_string(i));
+    const auto from = copy.mount();
+    ASSERT_EQ(store::take_snapshot(*life.store, *from, {}).fault, store::Fault::none);
+    std::size_t calls = 0, refused = 0;
+    for (std::size_t at = 0; at == 0 || at < calls; ++at)
+        for (const bool behind : {false, true}) {
+            Disk back;
+            back.follow([&](std::size_t nth, Disk::Call, const std::string&) {
+                return Disk::Fate{0, false, nth == at && !behind, nth == at && behind};
+            });
+            try {
+                const auto into = back.mount();
+                store::restore_snapshot(*from, *into, {});
+                calls = std::max(calls, back.calls());
+            } catch (const Ended&) {}
+            back.follow({});
+            {
+                Life second(back);
+                // Nothing yet, everything, or a folder that says why not.
+                if (second.opened) {
+                    EXPECT_TRUE(second.ledger->held() == 30 || second.report.made) << at;
+                    continue;
+                }
+                ++refused;
+            }
+            const auto into = back.mount();
+            ASSERT_EQ(store::restore_snapshot(*from, *into, {}).fault, store::Fault::none) << at;
+        }
+    EXPECT_GT(refused, 10U);
+}
+
+// Every byte of a snapshot that is spoilt or missing keeps it from being restored.
+TEST(Snapshot, RefusesWhatIsIncompleteOrDamaged) {
+    Disk disk, copy;
+    Life life(disk);
+    for (int i = 0; i < 10; ++i) life.take("m" + std::to_string(i));
+    ASSERT_EQ(store::take_snapshot(*life.store, *copy.mount(), {}).fault, store::Fault::none);
+    for (const auto& [name, inode] : copy.names)
+        for (std::size_t at = 0; at < inode->bytes.size(); at += 7)
+            for (const bool cut : {false, true}) {
+                Disk spoilt = copy.copy(), back;
+                auto& bytes = spoilt.names.at(name)->bytes;
+                if (cut)
+                    bytes.resize(at);
+                else
+                    bytes[at] ^= 2;
+                const auto restored = store::restore_snapshot(*spoilt.mount(), *back.mount(), {});
+                ASSERT_NE(restored.fault, store::Fault::none) << name << " at " << at;
+                EXPECT_FALSE(restored.why.empty());
+                ASSERT_EQ(back.names.size(), 0U) << "nothing may be begun";
+            }
+}
+
+}  // namespace
+}  // namespace brasslift::test
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -106,6 +106,7 @@
         if (who == "start") {
             rlim_t limit = 0, files = 0;
             in >> limit >> files;
+            if (double disk = 0; in >> disk) disk_mb_ = disk;
             return start(limit, files);
         }
         if (who == "wait") {
@@ -378,6 +379,7 @@
         site.hosts = {{"s-1", host1_.address(), 1},
                       {"s-2", host2_.address(), 2},
                       {"s-9", host2_.address(), 9, "Terminating"}};  // a destination without hosts
+        site.disk_mb = disk_mb_;
         std::ofstream(folder_ + "/config.json") << site_config(site);
     }
 
@@ -427,6 +429,7 @@
     }
 
     std::string folder_;
+    double disk_mb_ = 3;
     std::uint16_t port_ = 0;
     Listener discovery_, moved_, host1_, host2_;
     std::map<std::string, Peer> peers_;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -1,7 +1,8 @@
 // A small scenario language: scripted loopback peers round the real program.
 //
 // clang-format off
-//   start [LIMIT [FILES]]       starts brasslift (files of LIMIT bytes, FILES open at once)
+//   start [LIMIT [FILES [MB]]]  starts brasslift (files of LIMIT bytes, FILES open at once, 0: as they are; a
+//                               folder of MB, 3 if nothing else was said)
 //   operator TEXT               the operators' file from the next start or reload on (\\n as in C)
 //   kill | term | exits CODE
 //   tear                        leaves half a record at the journal's end
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -22,7 +22,8 @@
     for (const auto& host : site.hosts) hosts += (hosts.empty() ? "" : ",") + entry(host);
     return "{\"name\":\"n1\",\"discovery\":\"" + site.discovery +
            "\",\"seed\":\"1f\",\"limits\":{\"sockets\":" + std::to_string(site.sockets) +
-           ",\"disk_mb\":3},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + hosts +
+           ",\"disk_mb\":" + std::to_string(site.disk_mb) +
+           "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + hosts +
            "]},\"settings\":{\"specifics\":{\"workers\":" + std::to_string(site.workers) +
            ",\"batch_by_kind\":[3],\"kind_apart\":[true],\"fades\":\"halves\",\"toll\":[0.0]},"
            "\"bounds\":{\"most_held\":" +
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -16,6 +16,7 @@
     std::string discovery;
     std::vector<SiteHost> hosts;
     int workers = 8, send_cap = 4, most_held = 20, sockets = 256;
+    double disk_mb = 3;
 };
 
 // Classes safe, keyed and payment; tenants acme, bolt and coop.
