--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -16,6 +17,7 @@
 #include <random>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "store/keyspace.hpp"
@@ -368,6 +370,10 @@
     Store store(*files, options);
     Report report;
     must(store.open(1, report) == Fault::none, "open");
+    store.remove_apart();
+    std::optional<Job> job;
+    std::atomic<bool> ended{false};
+    std::thread remover;
     const auto value = value_of(1);
     const std::uint64_t keys = options.budget / 2 / 250;
     std::mt19937_64 chance(1);
@@ -379,9 +385,21 @@
         refused += store.write(Batch().put(1, key_of(key), value, 1), Purpose::fresh) ? 0 : 1;
         const double behind = now_s();
         store.step(1, 64 * 1024);
+        if (ended) {
+            store.finish(*job, 0, false);
+            job.reset();
+            remover.join();
+            ended = false;
+        }
+        if (!job && (job = store.next_job()))
+            remover = std::thread([&] {
+                job->run(*files, true);
+                ended = true;
+            });
         writes.push_back((behind - begun) * 1000);
         slices.push_back((now_s() - behind) * 1000);
     }
+    if (remover.joinable()) remover.join();
     std::sort(writes.begin(), writes.end());
     std::sort(slices.begin(), slices.end());
     const auto at = [](const std::vector<double>& v, double part) {
--- a/src/store/compact.cpp
+++ b/src/store/compact.cpp
@@ -37,7 +37,7 @@
 bool Store::step(Stamp now, std::uint64_t bytes) {
     if (options_.read_only || broken_) return false;
     if (manifest_due_ && options_.durability == Durability::none && !install()) return false;
-    if (shrink() || expire(now)) return true;
+    if ((!removes_apart_ && shrink()) || expire(now)) return true;
     if (compaction_) return go_on(bytes);
     const auto states = this->states();
     const auto need = need_of(room(), states);
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -21,7 +21,11 @@
 
 Keeper::Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms)
     : scheduler_(scheduler), waker_(scheduler), store_(store), files_(files), interval_(interval_ms) {
-    if (store_.options().durability == Durability::none) return;
+    store_.remove_apart();
+    if (store_.options().durability != Durability::none) start();
+}
+
+void Keeper::start() {
     event_ = runtime::Descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
     if (event_) watch_ = scheduler_.watch(event_.get(), waker_);
     if (watch_ == 0) throw std::runtime_error("no descriptor for the store's syncs");
@@ -63,10 +67,11 @@
 
 void Keeper::hand_out() {
     const auto durability = store_.options().durability;
-    if (durability == Durability::none || out_) return;
+    if (out_) return;
     if (durability == Durability::interval && scheduler_.now() < last_sync_ + interval_) return;
     auto job = store_.next_job();
     if (!job) return;
+    if (!thread_.joinable()) start();
     last_sync_ = scheduler_.now();
     out_ = true;
     {
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -33,6 +33,7 @@
     double longest_slice() const { return longest_; }
 
 private:
+    void start();
     void hand_out();
     void take_back();
     bool slice();
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -25,6 +25,8 @@
         if (const int bad = file->sync(); bad < 0) return bad;
     if (folder)
         if (const int bad = all.sync_folder(); bad < 0) return bad;
+    // One that stays is not in the manifest and goes at the next start.
+    for (const auto& name : removals) all.remove(name);
     if (!manifest) return 0;
     // A manifest that could not be put in place leaves the old one, which is true as well.
     std::unique_ptr<File> file;
@@ -126,8 +128,14 @@
         others_ += size;
         return;
     }
-    removing_.push_back({number, std::move(file), size});
-    shrink();
+    if (size > shrunk_at_once) {
+        removing_.push_back({number, std::move(file), size});
+        return;
+    }
+    // One that stays is not in the manifest and goes at the next start.
+    files_.remove(segment_name(number));
+    size_ -= std::min(size_, size);
+    folder_dirty_ = options_.durability != Durability::none;
 }
 
 // To remove a large file at once holds the loop for many milliseconds: it goes from its end, in parts.
@@ -358,9 +366,16 @@
 }
 
 std::optional<Job> Store::next_job() {
-    if (options_.durability == Durability::none || job_out_ || broken_) return std::nullopt;
-    if (dirty_.empty() && !folder_dirty_ && !manifest_due_) return std::nullopt;
+    if (job_out_ || broken_) return std::nullopt;
     Job job;
+    if (removes_apart_)
+        for (const auto& removing : removing_) job.removals.push_back(segment_name(removing.number));
+    if (options_.durability == Durability::none) {
+        if (job.removals.empty()) return std::nullopt;
+        job_out_ = true;
+        return job;
+    }
+    if (dirty_.empty() && !folder_dirty_ && !manifest_due_ && job.removals.empty()) return std::nullopt;
     job.files = std::exchange(dirty_, {});
     job.folder = std::exchange(folder_dirty_, false);
     job.upto = next_;
@@ -382,7 +397,15 @@
         why_ = std::string("a sync failed: ") + std::strerror(-result);
         return;
     }
-    if (older(durable_, job.upto)) durable_ = job.upto;
+    for (const auto& name : job.removals) {
+        const auto number = number_of_segment(name);
+        std::erase_if(removing_, [&](const Removing& r) {
+            if (r.number != number) return false;
+            size_ -= std::min(size_, r.size);
+            return true;
+        });
+    }
+    if (options_.durability != Durability::none && older(durable_, job.upto)) durable_ = job.upto;
     if (!job.manifest) return;
     if (!installed) {
         manifest_due_ = true;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -62,7 +62,8 @@
     bool folder = false;
     std::optional<std::string> manifest;
     std::uint64_t generation = 0;
-    Version upto = 0;  // exclusive; durable when all of it has succeeded
+    Version upto = 0;                   // exclusive; durable when all of it has succeeded
+    std::vector<std::string> removals;  // large files that nothing refers to any more
     // 0 or less errno's number; `installed`: the manifest is in place.
     int run(Files& files, bool sync, bool* installed = nullptr) const;
 };
@@ -118,6 +119,9 @@
     std::vector<Extent> extents() const;
     // Seals the segment that is written to.
     bool seal();
+    // Large files that have gone are removed by jobs, also where nothing is synced: their removal may hold
+    // the loop for many milliseconds. Otherwise step() shrinks them in parts.
+    void remove_apart() { removes_apart_ = true; }
     // Other files of the folder that share the budget; counted anew.
     void count_others();
 
@@ -188,8 +192,8 @@
     std::uint64_t size_ = 0;               // of all segments in blocks
     std::uint64_t others_ = 0;             // of other files in the folder
     std::uint64_t puts_ = 0, erases_ = 0;  // of all segments: live puts; erases that end something
-    bool recovering_ = false, settled_ = true, broken_ = false, job_out_ = false, folder_dirty_ = false,
-         manifest_due_ = false;
+    bool removes_apart_ = false, recovering_ = false, settled_ = true, broken_ = false, job_out_ = false,
+         folder_dirty_ = false, manifest_due_ = false;
     bool unsound_tail_ = false;  // what follows the last good frame of the last segment could not be cut off
     std::vector<std::shared_ptr<File>> dirty_;
     std::optional<Compaction> compaction_;
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -3,11 +3,14 @@
 #include <sys/stat.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 
+#include "dispatch/records.hpp"
+
 namespace brasslift::test {
 namespace {
 
@@ -131,5 +134,82 @@
         << why.out;
 }
 
+// A store with some messages, half of them over, as a dispatcher that was killed leaves it.
+void fill_store(const std::string& folder) {
+    fs::create_directory(folder);
+    const auto files = store::files_in(folder);
+    store::Options options;
+    options.budget = 1 << 20;
+    options.segment = 4096;
+    options.keyspaces = dispatch::ledger_keyspaces();
+    store::Store store(*files, options);
+    store::Report report;
+    ASSERT_EQ(store.open(1, report), store::Fault::none);
+    for (MessageId id = 1; id <= 60; ++id) {
+        dispatch::Owed m;
+        m.id = id;
+        m.name = "m" + std::to_string(id);
+        m.due_wall = 1e12;
+        m.body = std::make_shared<const std::string>(std::string(200, 'b'));
+        store::Batch batch;
+        dispatch::Messages::put(batch, id, m, 1);
+        ASSERT_TRUE(store.write(batch));
+        if (id % 2 == 0) {
+            store::Batch over;
+            dispatch::Messages::erase(over, id);
+            ASSERT_TRUE(store.write(over));
+        }
+    }
+}
+
+TEST_F(Commands, StoreLooksChecksAndCompacts) {
+    fill_store(folder_ + "/state");
+    const auto stats = run("store stats state");
+    EXPECT_EQ(stats.code, 0);
+    EXPECT_NE(stats.out.find("message                    30"), std::string::npos) << stats.out;
+    EXPECT_EQ(run("store verify state").code, 0);
+    const auto dump = run("store dump state --keyspace message");
+    EXPECT_EQ(std::count(dump.out.begin(), dump.out.end(), '\n'), 30);
+    EXPECT_TRUE(dump.out.starts_with("{\"keyspace\":\"message\",\"key\":1,")) << dump.out;
+    EXPECT_EQ(dump.out.find("value"), std::string::npos);
+    EXPECT_NE(run("store dump state --values").out.find("\"value_hex\":\""), std::string::npos);
+    const auto owed = run("journal state");
+    EXPECT_NE(owed.out.find("30 messages"), std::string::npos) << owed.out;
+    EXPECT_EQ(run("store compact state").code, 2);
+    const auto compacted = run("store compact state --disk-mb 1");
+    EXPECT_EQ(compacted.code, 0) << compacted.out;
+    EXPECT_NE(run("store stats state").out.find("message                    30"), std::string::npos);
+    EXPECT_NE(run("store stats nowhere").code, 0);
+    EXPECT_EQ(run("store chek state").code, 2);
+    EXPECT_EQ(run("store --help").code, 0);
+}
+
+TEST_F(Commands, StoreCopiesAndRestoresOnlyWhatIsWhole) {
+    fill_store(folder_ + "/state");
+    fs::create_directory(folder_ + "/copy");
+    fs::create_directory(folder_ + "/back");
+    EXPECT_EQ(run("store snapshot state copy").code, 0);
+    EXPECT_NE(run("store snapshot state copy").code, 0);  // there is one already
+    EXPECT_EQ(run("store verify copy").code, 0);
+    EXPECT_NE(run("store restore copy state").code, 0);  // a store is there
+    EXPECT_EQ(run("store restore copy back").code, 0);
+    EXPECT_NE(run("journal back").out.find("30 messages"), std::string::npos);
+    {
+        std::fstream file(folder_ + "/copy/seg.00000001", std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(500);
+        file.put('!');
+    }
+    fs::create_directory(folder_ + "/third");
+    const auto verified = run("store verify copy");
+    EXPECT_EQ(verified.code, 1);
+    EXPECT_NE(verified.out.find("seg.00000001 is not as it was taken"), std::string::npos) << verified.out;
+    EXPECT_NE(run("store restore copy third").code, 0);
+    // And a store that is damaged is told, not copied.
+    fs::copy_file(folder_ + "/copy/seg.00000001", folder_ + "/back/seg.00000001",
+                  fs::copy_options::overwrite_existing);
+    EXPECT_EQ(run("store verify back").code, 1);
+    EXPECT_NE(run("store snapshot back third").code, 0);
+}
+
 }  // namespace
 }  // namespace brasslift::test
