Tidy the store: one type for progress, one place for manifests, notices and pauses

Read again: the progress of a message was copied field by field (now Standing, which Owed has as its base); the rule when a manifest is put in place stood in three places, the pause for want of room in two, the wait of a notice in two; the store's section was compiled in telemetry's file; two benches had the same paired rounds (bench/paired.hpp) and two tests the same history. has_room and longest_slice had no caller. Segments that an earlier start removed are now removed only when the manifest that does not name them has lasted. Where segments are over 4 MB, manifests are put in place by the keeper's job.

--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -85,7 +85,7 @@
         must(static_cast<bool>(store_->write(batch_)), "write");
         while (auto job = store_->next_job()) {
             bool installed = false;
-            const int result = job->run(*files_, true, &installed);
+            const int result = job->run(*files_, &installed);
             store_->finish(*job, result, installed);
             must(result >= 0, "sync");
         }
@@ -370,9 +370,10 @@
     Store store(*files, options);
     Report report;
     must(store.open(1, report) == Fault::none, "open");
-    store.remove_apart();
+    store.work_apart();
     std::optional<Job> job;
     std::atomic<bool> ended{false};
+    bool installed = false;
     std::thread remover;
     const auto value = value_of(1);
     const std::uint64_t keys = options.budget / 2 / 250;
@@ -386,14 +387,14 @@
         const double behind = now_s();
         store.step(1, 64 * 1024);
         if (ended) {
-            store.finish(*job, 0, false);
+            store.finish(*job, 0, installed);
             job.reset();
             remover.join();
             ended = false;
         }
         if (!job && (job = store.next_job()))
             remover = std::thread([&] {
-                job->run(*files, true);
+                job->run(*files, &installed);
                 ended = true;
             });
         writes.push_back((behind - begun) * 1000);
--- a/bench/telemetry_run.cpp
+++ b/bench/telemetry_run.cpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <string>
 
-#include "lives.hpp"
+#include "paired.hpp"
 
 namespace {
 
@@ -45,45 +45,26 @@
     return found.empty() ? 0 : 1;
 }
 
-struct Case {
-    const char* name;
-    std::string telemetry, collector;
-    std::vector<double> p50, p99, cpu;
-    double bytes = 0, resident = 0;
-};
-
 int paired(const std::string& program, int rounds) {
-    std::vector<Case> cases{{"off", "", "", {}, {}, {}},
-                            {"off again", "", "", {}, {}, {}},
-                            {"on", on, "", {}, {}, {}},
-                            {"silent", on, "silent", {}, {}, {}}};
-    constexpr int messages = 2000;
-    for (int round = 0; round < rounds; ++round)
-        for (std::size_t i = 0; i < cases.size(); ++i) {
-            // Each round begins with another one.
-            auto& c = cases[(i + static_cast<std::size_t>(round)) % cases.size()];
-            LivesPlan plan;
-            plan.messages = messages;
-            plan.per_second = 1000;
-            plan.telemetry = c.telemetry;
-            plan.collector = c.collector;
-            plan.seed = static_cast<std::uint64_t>(round) + 1;
-            const auto account = live(program, plan);
-            c.p50.push_back(quantile(account.delivery_ms, 0.5));
-            c.p99.push_back(quantile(account.delivery_ms, 0.99));
-            c.cpu.push_back(account.cpu_ms * 1000 / messages);
-            c.bytes += static_cast<double>(account.kept.bytes) / messages / rounds;
-            c.resident += static_cast<double>(account.resident_kb) / rounds;
-        }
+    const auto plan = [](const std::string& telemetry, const char* collector) {
+        LivesPlan plan;
+        plan.messages = 2000;
+        plan.per_second = 1000;
+        plan.telemetry = telemetry;
+        plan.collector = collector;
+        return plan;
+    };
+    std::vector<brasslift::bench::Case> cases{{"off", plan("", ""), {}, {}, {}},
+                                              {"off again", plan("", ""), {}, {}, {}},
+                                              {"on", plan(on, ""), {}, {}, {}},
+                                              {"silent", plan(on, "silent"), {}, {}, {}}};
+    brasslift::bench::play_in_turn(program, rounds, cases);
     const auto& base = cases[0];
     std::printf("%-10s %10s %10s %12s %12s %10s %10s %10s\n", "", "p50 ms", "p99 ms", "p50/off", "p99/off",
                 "CPU us/m", "bytes/m", "RSS KB");
     for (const auto& c : cases) {
-        std::vector<double> p50, p99;
-        for (std::size_t i = 0; i < c.p50.size(); ++i) {
-            p50.push_back(c.p50[i] / base.p50[i]);
-            p99.push_back(c.p99[i] / base.p99[i]);
-        }
+        const auto p50 = brasslift::bench::ratios(c.p50, base.p50);
+        const auto p99 = brasslift::bench::ratios(c.p99, base.p99);
         std::printf(
             "%-10s %10.3f %10.3f %5.3f..%5.3f %5.3f..%5.3f %10.1f %10.0f %10.0f   medians %.4f %.4f\n",
             c.name, quantile(c.p50, 0.5), quantile(c.p99, 0.5), quantile(p50, 0.1), quantile(p50, 0.9),
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -6,11 +6,6 @@
 #include "dispatch/dispatcher.hpp"
 
 namespace brasslift::dispatch {
-namespace {
-
-constexpr double full_pause_ms = 500;  // as the core's other refusals for want of room
-
-}  // namespace
 
 void Dispatcher::plan_by(std::shared_ptr<const plan::Plan> plan) {
     now_ = scheduler_.now();
@@ -132,6 +127,13 @@
     });
 }
 
+// Where its record will not be durable the next start tells it, or tells of what became of the message then.
+void Dispatcher::tell_client(Notice notice) {
+    when_durable([this, notice = std::move(notice)](bool durable) {
+        if (durable) outbox_.tell(notice);
+    });
+}
+
 void Dispatcher::answer_taken(MessageId id, std::weak_ptr<Client> to) {
     when_durable([this, id, to = std::move(to)](bool durable) {
         const auto client = to.lock();
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,8 +9,6 @@
 namespace brasslift::dispatch {
 namespace {
 
-constexpr double full_pause_ms = 500;  // advice where the holding room or the journal is full
-
 // Tells one tenant's keys and prints from another's.
 std::size_t salt_of(std::uint16_t tenant) { return (std::size_t{tenant} + 1) * 0x9e3779b97f4a7c15U; }
 
@@ -39,18 +37,16 @@
         if (until > now_) remember(seen.name, seen.print, std::min(until, now_ + remembered_ms));
     }
     for (auto& [id, m] : ledger_.all()) {
+        if (m.ending != Ending::none) {
+            tell_client({m.id, m.name, m.ending, m.again_ms});
+            continue;
+        }
         Submission as_handed_in;
         as_handed_in.key = m.key;
         as_handed_in.message_class = m.message_class;
         as_handed_in.destination = m.destination;
         as_handed_in.body = m.body;
-        if (m.ending == Ending::none) remember(m.name, print_of(as_handed_in));
-        if (m.ending != Ending::none) {
-            when_durable([this, notice = Notice{m.id, m.name, m.ending, m.again_ms}](bool durable) {
-                if (durable) outbox_.tell(notice);
-            });
-            continue;
-        }
+        remember(m.name, print_of(as_handed_in));
         Restored restored;
         restored.message.id = id;
         restored.message.message_class = m.message_class;
@@ -400,10 +396,7 @@
     let_go(m.id);
     if (observer_ != nullptr) observer_->ended(now_, m, ending, again);
     ledger_.end(m, ending, again);
-    when_durable([this, notice = Notice{m.id, m.name, ending, again}](bool durable) {
-        // Where it will not be, the next start tells it, or tells of what became of the message then.
-        if (durable) outbox_.tell(notice);
-    });
+    tell_client({m.id, m.name, ending, again});
 }
 
 std::map<std::uint16_t, double> Dispatcher::windows() const {
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -18,6 +18,8 @@
 
 namespace brasslift::dispatch {
 
+constexpr double full_pause_ms = 500;  // advice where the holding room or the store is full
+
 class Dispatcher {
 public:
     Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed, Ledger& ledger,
@@ -108,6 +110,7 @@
     void when_durable(std::function<void(bool)> act);
     void release_durable();
     void hand_over(Call call);
+    void tell_client(Notice notice);
     void answer_taken(MessageId id, std::weak_ptr<Client> client);
     void not_sent(const Attempt& attempt);  // as its message stands
 
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -26,17 +26,9 @@
         store, [&](MessageId id, Owed m, const store::Entry&) { (all[id] = std::move(m)).id = id; }, pass);
     Progresses::each(
         store,
-        [&](MessageId id, const Owed& p, const store::Entry&) {
-            const auto found = all.find(id);
-            if (found == all.end()) return;
-            auto& m = found->second;
-            m.attempts = p.attempts;
-            m.flying = p.flying;
-            m.may_have_run = p.may_have_run;
-            m.sent_wall = p.sent_wall;
-            m.sent_zone = p.sent_zone;
-            m.risky_wall = p.risky_wall;
-            m.risky_zone = p.risky_zone;
+        [&](MessageId id, const Standing& progress, const store::Entry&) {
+            if (const auto found = all.find(id); found != all.end())
+                static_cast<Standing&>(found->second) = progress;
         },
         pass);
     Notices::each(
@@ -69,7 +61,7 @@
         store_, [](auto, const auto&, const auto&) {}, unreadable);
     Progresses::each(
         store_,
-        [&](MessageId id, const Owed&, const store::Entry&) {
+        [&](MessageId id, const Standing&, const store::Entry&) {
             if (Messages::find(store_, id) == nullptr) strays.push_back(id);
         },
         unreadable);
--- a/src/dispatch/observer.hpp
+++ b/src/dispatch/observer.hpp
@@ -33,7 +33,7 @@
     virtual void refused(Time now, const Seen& seen, Refusal by, std::string_view rule, double pause_ms) = 0;
     // About to be taken on. What it answers goes into the journal with the message.
     virtual std::string begins(Time now, MessageId id, const Seen& seen) = 0;
-    // It has its record in the journal and its client is answered.
+    // It has its record, and its client is answered, or will be once the record is durable.
     virtual void taken(Time now, const Owed& message) = 0;
     // It was not taken on after all, or its client could not be told.
     virtual void abandoned(Time now, MessageId id, Refusal why) = 0;
--- a/src/dispatch/records.cpp
+++ b/src/dispatch/records.cpp
@@ -33,7 +33,7 @@
     return m;
 }
 
-std::string ProgressCodec::value(const Owed& m) {
+std::string ProgressCodec::value(const Standing& m) {
     return ValueWriter()
         .number(static_cast<std::int32_t>(m.attempts))
         .number(static_cast<std::uint8_t>((m.flying ? 1 : 0) | (m.may_have_run ? 2 : 0)))
@@ -44,9 +44,9 @@
         .take();
 }
 
-std::optional<Owed> ProgressCodec::value(std::string_view bytes) {
+std::optional<Standing> ProgressCodec::value(std::string_view bytes) {
     ValueReader in(bytes);
-    Owed m;
+    Standing m;
     m.attempts = in.number<std::int32_t>();
     const auto flags = in.number<std::uint8_t>();
     m.flying = (flags & 1) != 0;
@@ -85,7 +85,7 @@
             {meta_keyspace, "meta", {}, false}};
 }
 
-void note_risk(Owed& m) {
+void note_risk(Standing& m) {
     m.flying = false;
     if (m.may_have_run) return;
     m.may_have_run = true;
--- a/src/dispatch/records.hpp
+++ b/src/dispatch/records.hpp
@@ -12,17 +12,21 @@
 
 namespace brasslift::dispatch {
 
-struct Owed {
+// How far a message has come.
+struct Standing {
+    int attempts = 0;
+    bool flying = false, may_have_run = false;
+    double sent_wall = 0, risky_wall = 0;  // of the latest attempt; of the first that may have run
+    std::uint16_t sent_zone = 0, risky_zone = 0;
+};
+
+struct Owed : Standing {
     MessageId id = 0;
     std::string name, key;
     std::uint16_t message_class = 0, tenant = 0, destination = 0;
     double due_wall = 0;  // deadlines outlive the process, so they are kept by the wall clock
     std::shared_ptr<const std::string> body;
-    int attempts = 0;
-    bool flying = false, may_have_run = false;
-    bool cut = false;                      // its latest attempt was out when an earlier life ended
-    double sent_wall = 0, risky_wall = 0;  // of the latest attempt; of the first that may have run
-    std::uint16_t sent_zone = 0, risky_zone = 0;
+    bool cut = false;  // its latest attempt was out when an earlier life ended
     Ending ending = Ending::none;
     std::uint32_t again_ms = 0;
     std::string mark;  // an observer's, kept with the message; empty: none
@@ -46,10 +50,10 @@
 };
 // How far it has come; absent: nothing was ever sent.
 struct ProgressCodec : ById {
-    using Value = Owed;
+    using Value = Standing;
     static constexpr std::uint8_t id = 2;
-    static std::string value(const Owed& message);
-    static std::optional<Owed> value(std::string_view bytes);
+    static std::string value(const Standing& progress);
+    static std::optional<Standing> value(std::string_view bytes);
 };
 // Of one that has ended: what its client is still to be told.
 struct NoticeCodec : ById {
@@ -86,6 +90,6 @@
 std::vector<store::KeyspaceRule> ledger_keyspaces();
 
 // An attempt that ended, or may have, as one that may have run.
-void note_risk(Owed& message);
+void note_risk(Standing& progress);
 
 }  // namespace brasslift::dispatch
--- a/src/store/compact.cpp
+++ b/src/store/compact.cpp
@@ -36,8 +36,8 @@
 
 bool Store::step(Stamp now, std::uint64_t bytes) {
     if (options_.read_only || broken_) return false;
-    if (manifest_due_ && options_.durability == Durability::none && !install()) return false;
-    if ((!removes_apart_ && shrink()) || expire(now)) return true;
+    if (manifest_due_ && installs_at_once() && !install()) return false;
+    if ((!works_apart_ && shrink()) || expire(now)) return true;
     if (compaction_) return go_on(bytes);
     const auto states = this->states();
     const auto need = need_of(room(), states);
@@ -153,10 +153,7 @@
     segments_.erase(found);
     shadows_.emplace(number, std::move(segment));
     ++stats_.compacted;
-    if (options_.durability == Durability::none)
-        install();
-    else
-        manifest_due_ = true;
+    publish();
     count_erases();
     return true;
 }
--- a/src/store/decide.hpp
+++ b/src/store/decide.hpp
@@ -80,7 +80,6 @@
 // `readings` in the order of numbers; `manifest`: whether one could be read.
 Conclusion conclude(std::span<const Reading> readings, bool manifest, Version next);
 
-// How many of the oldest go, by age and count and bytes. `oldest` gives the nth oldest's stamp and size.
 struct Aged {
     Stamp stamp = 0;
     std::uint64_t size = 0;
--- a/src/store/format.hpp
+++ b/src/store/format.hpp
@@ -100,6 +100,7 @@
 std::string damaged_name(Number number);
 std::optional<Number> number_of_damaged(std::string_view name);
 constexpr const char* manifest_name = "manifest";
+constexpr const char* manifest_part = "manifest.part";  // its next form
 constexpr const char* lock_name = "store.lock";
 constexpr const char* restoring_name = "restoring";  // as long as it is there, no store opens
 
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -21,7 +21,7 @@
 
 Keeper::Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms)
     : scheduler_(scheduler), waker_(scheduler), store_(store), files_(files), interval_(interval_ms) {
-    store_.remove_apart();
+    store_.work_apart();
     if (store_.options().durability != Durability::none) start();
 }
 
@@ -56,7 +56,7 @@
         Done done{std::move(*job_), 0, false};
         job_.reset();
         lock.unlock();
-        done.result = done.job.run(files_, true, &done.installed);
+        done.result = done.job.run(files_, &done.installed);
         lock.lock();
         done_ = std::move(done);
         const std::uint64_t one = 1;
@@ -98,12 +98,7 @@
     if (synced_) synced_();
 }
 
-bool Keeper::slice() {
-    const auto before = runtime::steady_now();
-    const bool more = store_.step(static_cast<Stamp>(runtime::wall_now()), slice_bytes);
-    longest_ = std::max(longest_, runtime::steady_now() - before);
-    return more;
-}
+bool Keeper::slice() { return store_.step(static_cast<Stamp>(runtime::wall_now()), slice_bytes); }
 
 runtime::Task<void> Keeper::run() {
     runtime::Time next_slice = scheduler_.now() + idle_ms;
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -29,8 +29,6 @@
     void want() { waker_.notify(); }
     bool reached(Version version) const { return !older(store_.durable(), version); }
     bool failed() const { return store_.broken(); }
-    // The longest that a slice has held the loop, in ms.
-    double longest_slice() const { return longest_; }
 
 private:
     void start();
@@ -46,7 +44,6 @@
     double interval_;
     std::function<void()> synced_;
     runtime::Time last_sync_ = 0;
-    double longest_ = 0;
 
     struct Done {
         Job job;
--- a/src/store/recover.cpp
+++ b/src/store/recover.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t most_manifest = 64 << 20;
-constexpr const char* manifest_part = "manifest.part";
 
 // The system's trouble, not the file's: a start under it would conclude what is not so.
 bool passing(int error) {
@@ -96,7 +95,7 @@
         segments_.clear();
         size_ = 0;
         next_ = options_.first;
-        return make(opened_);
+        return make();
     }
     if (id_ == 0) id_ = options_.id;
     const auto conclusion = conclude(readings, manifest.has_value(), next_);
@@ -113,6 +112,9 @@
     durable_ = next_ - 1;  // what was read may never have been synced
     settled_ = report.sound();
     if (options_.read_only) return Fault::none;
+    // The manifest that does not name them may not have lasted yet; the one before does.
+    if (!stale.empty() && options_.durability != Durability::none && files_.sync_folder() < 0)
+        return fail(Fault::io, "the folder cannot be synced");
     for (const auto number : stale) files_.remove(segment_name(number));
     files_.remove(manifest_part);
     return mend(conclusion, readings, report.sound());
@@ -221,12 +223,10 @@
         for (const auto& [number, s] : segments_) dirty_.push_back(s.file);
         folder_dirty_ = manifest_due_ = true;
     }
-    if (!fresh) return Fault::none;
-    if (const auto fault = roll(); fault != Fault::none) return fault;
-    return Fault::none;
+    return fresh ? roll() : Fault::none;
 }
 
-Fault Store::make(Stamp) {
+Fault Store::make() {
     id_ = options_.id;
     generation_ = 0;
     if (const auto fault = roll(); fault != Fault::none) return fault;
@@ -235,7 +235,7 @@
         return generation_ > 0 ? Fault::none : fail(Fault::io, "the manifest cannot be written");
     const auto job = next_job();
     bool installed = false;
-    finish(*job, job->run(files_, true, &installed), installed);
+    finish(*job, job->run(files_, &installed), installed);
     return installed ? Fault::none : fail(Fault::io, "the manifest cannot be written");
 }
 
@@ -243,10 +243,7 @@
     if (settled_) return;
     settled_ = true;
     suspect_below_.reset();
-    if (options_.durability == Durability::none)
-        install();
-    else
-        manifest_due_ = true;
+    publish();
 }
 
 }  // namespace brasslift::store
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -8,7 +8,6 @@
 namespace brasslift::store {
 namespace {
 
-constexpr const char* manifest_part = "manifest.part";
 // A write that finds no room compacts so much on the spot, and no more: the loop waits for it.
 constexpr std::uint64_t most_on_the_spot = 4 << 20;
 constexpr std::uint64_t shrunk_at_once = 4 << 20;  // some tenths of a millisecond
@@ -20,7 +19,7 @@
                        [](const Judgement& j) { return j.what == Judgement::What::torn; });
 }
 
-int Job::run(Files& all, bool sync, bool* installed) const {
+int Job::run(Files& all, bool* installed) const {
     for (const auto& file : files)
         if (const int bad = file->sync(); bad < 0) return bad;
     if (folder)
@@ -99,11 +98,24 @@
     return extents;
 }
 
+// On some file systems a rename over a file waits until the new one is written out. Where segments are large
+// that is the keeper's job; in a small folder the room that comes with it is wanted at once.
+bool Store::installs_at_once() const {
+    return options_.durability == Durability::none && !(works_apart_ && options_.segment > shrunk_at_once);
+}
+
+void Store::publish() {
+    if (installs_at_once())
+        install();
+    else
+        manifest_due_ = true;
+}
+
 bool Store::install() {
     Job job;
     job.manifest = write_manifest(manifest());
     bool installed = false;
-    job.run(files_, false, &installed);
+    job.run(files_, &installed);
     if (!installed) {
         manifest_due_ = true;
         return false;
@@ -132,6 +144,10 @@
         removing_.push_back({number, std::move(file), size});
         return;
     }
+    drop_file(number, size);
+}
+
+void Store::drop_file(Number number, std::uint64_t size) {
     // One that stays is not in the manifest and goes at the next start.
     files_.remove(segment_name(number));
     size_ -= std::min(size_, size);
@@ -148,11 +164,8 @@
         size = left;
         return true;
     }
-    // One that stays is not in the manifest and goes at the next start.
-    files_.remove(segment_name(number));
-    size_ -= std::min(size_, size);
+    drop_file(number, size);
     removing_.pop_front();
-    folder_dirty_ = options_.durability != Durability::none;
     return true;
 }
 
@@ -194,12 +207,12 @@
     size_ += blocks_of(segment_head);
     if (options_.durability != Durability::none) {
         dirty_.push_back(segment.file);
-        folder_dirty_ = manifest_due_ = true;
+        folder_dirty_ = true;
     }
     segments_.emplace(number, std::move(segment));
     count_erases();
     // A start also finds a segment that the manifest does not name yet, if it is newer than all it names.
-    if (options_.durability == Durability::none) install();
+    publish();
     return Fault::none;
 }
 
@@ -258,8 +271,6 @@
     return admits(room(), grows, bytes, purpose);
 }
 
-bool Store::has_room(std::uint64_t bytes) { return make_room(blocks_of(bytes), bytes, Purpose::fresh); }
-
 Written Store::write(const Batch& batch, Purpose purpose) {
     std::uint64_t live = 0, size = frame_head;
     for (const auto& item : batch.items()) {
@@ -368,18 +379,17 @@
 std::optional<Job> Store::next_job() {
     if (job_out_ || broken_) return std::nullopt;
     Job job;
-    if (removes_apart_)
+    if (works_apart_)
         for (const auto& removing : removing_) job.removals.push_back(segment_name(removing.number));
-    if (options_.durability == Durability::none) {
-        if (job.removals.empty()) return std::nullopt;
-        job_out_ = true;
-        return job;
-    }
-    if (dirty_.empty() && !folder_dirty_ && !manifest_due_ && job.removals.empty()) return std::nullopt;
+    const bool syncs = options_.durability != Durability::none;
+    const bool manifest_waits = manifest_due_ && !installs_at_once();
+    if (dirty_.empty() && !folder_dirty_ && !manifest_waits && job.removals.empty()) return std::nullopt;
+    job.sync = syncs;
     job.files = std::exchange(dirty_, {});
     job.folder = std::exchange(folder_dirty_, false);
     job.upto = next_;
-    if (std::exchange(manifest_due_, false)) {
+    if (manifest_waits) {
+        manifest_due_ = false;
         const auto next = manifest();
         job.manifest = write_manifest(next);
         job.generation = next.generation;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -59,13 +59,13 @@
 // Files to sync, then a manifest to put in place, off the loop's thread.
 struct Job {
     std::vector<std::shared_ptr<File>> files;
-    bool folder = false;
+    bool folder = false, sync = false;  // sync: the manifest too
     std::optional<std::string> manifest;
     std::uint64_t generation = 0;
     Version upto = 0;                   // exclusive; durable when all of it has succeeded
     std::vector<std::string> removals;  // large files that nothing refers to any more
     // 0 or less errno's number; `installed`: the manifest is in place.
-    int run(Files& files, bool sync, bool* installed = nullptr) const;
+    int run(Files& files, bool* installed = nullptr) const;
 };
 
 class Store {
@@ -78,8 +78,6 @@
 
     // All operations or none. An erase of what is not there is left out. A key may be in a batch once.
     Written write(const Batch& batch, Purpose purpose = Purpose::owed);
-    // Whether new work of so many bytes would be written now.
-    bool has_room(std::uint64_t bytes);
 
     // Values are read from the file and checked.
     Fault read(std::uint8_t keyspace, std::string_view key, std::string& into, Stamp* stamp = nullptr) const;
@@ -119,9 +117,9 @@
     std::vector<Extent> extents() const;
     // Seals the segment that is written to.
     bool seal();
-    // Large files that have gone are removed by jobs, also where nothing is synced: their removal may hold
-    // the loop for many milliseconds. Otherwise step() shrinks them in parts.
-    void remove_apart() { removes_apart_ = true; }
+    // Where segments are large, jobs also remove their files and put manifests in place where nothing is
+    // synced: either may hold the loop for many milliseconds. Otherwise step() shrinks files in parts.
+    void work_apart() { works_apart_ = true; }
     // Other files of the folder that share the budget; counted anew.
     void count_others();
 
@@ -157,11 +155,14 @@
     void read_frames(Segment& segment, Reading& reading, std::uint64_t to, Report& report);
     Fault mend(const Conclusion& conclusion, const std::vector<Reading>& readings, bool report_sound);
     void apply(const Operation& operation, const Place& place);
-    Fault make(Stamp now);
+    Fault make();
     Fault roll();
-    bool install();  // the manifest, at once; where nothing is synced
+    bool install();  // the manifest, at once
+    void publish();  // the manifest, now or by the next job
+    bool installs_at_once() const;
     Manifest manifest() const;
     void remove_file(Number number, bool damaged);
+    void drop_file(Number number, std::uint64_t size);
     bool shrink();
 
     Fault prepare(std::uint64_t frame, std::uint64_t live, Purpose purpose);
@@ -192,7 +193,7 @@
     std::uint64_t size_ = 0;               // of all segments in blocks
     std::uint64_t others_ = 0;             // of other files in the folder
     std::uint64_t puts_ = 0, erases_ = 0;  // of all segments: live puts; erases that end something
-    bool removes_apart_ = false, recovering_ = false, settled_ = true, broken_ = false, job_out_ = false,
+    bool works_apart_ = false, recovering_ = false, settled_ = true, broken_ = false, job_out_ = false,
          folder_dirty_ = false, manifest_due_ = false;
     bool unsound_tail_ = false;  // what follows the last good frame of the last segment could not be cut off
     std::vector<std::shared_ptr<File>> dirty_;
--- a/tests/kill_test.cpp
+++ b/tests/kill_test.cpp
@@ -66,6 +66,23 @@
               "");
 }
 
+// A client that leaves before its record is durable was told nothing: nothing runs, and the same request is
+// taken on anew.
+TEST(Synced, NothingRunsForAClientThatLeftBeforeTheSync) {
+    EXPECT_EQ(play(R"(
+        operator store { durability: INTERVAL interval: "400ms" }
+        start
+        c1 post payment m1 8000m 1
+        wait 100
+        c1 close
+        h absent Req-Id 900
+        c2 post payment m1 8000m 1
+        c2 expect 202
+        h expect Req-Id: m1
+    )"),
+              "");
+}
+
 TEST(Synced, DeliversAndRemembersAsWithoutSyncs) {
     EXPECT_EQ(play(R"(
         operator store { durability: EACH compress: ON }
--- a/tests/store_fault_test.cpp
+++ b/tests/store_fault_test.cpp
@@ -28,27 +28,6 @@
     return o;
 }
 
-struct History {
-    std::mt19937_64 chance;
-    std::vector<std::string> live;
-    int next = 0;
-    explicit History(std::uint64_t seed) : chance(seed) {}
-    Batch one() {
-        Batch batch;
-        if (live.size() > 8 || (!live.empty() && chance() % 3 == 0)) {
-            const auto at = chance() % live.size();
-            batch.erase(messages, live[at]).erase(marks, live[at]);
-            live.erase(live.begin() + static_cast<long>(at));
-        } else if (!live.empty() && chance() % 2 == 0) {
-            batch.put(marks, live[chance() % live.size()], "out " + std::to_string(next++), 900);
-        } else {
-            live.push_back("m" + std::to_string(next++));
-            batch.put(messages, live.back(), std::string(chance() % 120, 'b'), 900);
-        }
-        return batch;
-    }
-};
-
 struct Played {
     Disk disk;
     std::vector<std::pair<std::uint64_t, State>> states;  // by the size of the last segment, oldest first
--- a/tests/store_rig.cpp
+++ b/tests/store_rig.cpp
@@ -26,6 +26,22 @@
     return state;
 }
 
+Batch History::one() {
+    constexpr std::uint8_t messages = 1, marks = 2;
+    Batch batch;
+    if (live_.size() > 8 || (!live_.empty() && chance_() % 3 == 0)) {
+        const auto at = chance_() % live_.size();
+        batch.erase(messages, live_[at]).erase(marks, live_[at]);
+        live_.erase(live_.begin() + static_cast<long>(at));
+    } else if (!live_.empty() && chance_() % 2 == 0) {
+        batch.put(marks, live_[chance_() % live_.size()], "out " + std::to_string(next_++), 900);
+    } else {
+        live_.push_back("m" + std::to_string(next_++));
+        batch.put(messages, live_.back(), std::string(chance_() % 120, 'b'), 900);
+    }
+    return batch;
+}
+
 bool StoreRig::open(Stamp now) {
     close();
     files_ = disk_.mount();
@@ -45,7 +61,7 @@
 bool StoreRig::sync() {
     while (auto job = store_->next_job()) {
         bool installed = false;
-        const int result = job->run(*files_, true, &installed);
+        const int result = job->run(*files_, &installed);
         store_->finish(*job, result, installed);
         if (result < 0) return false;
         if (!installed && job->manifest) break;  // tried again with the next one
--- a/tests/store_rig.hpp
+++ b/tests/store_rig.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +19,18 @@
 void apply_to(State& state, const store::Batch& batch);
 State state_of(const store::Store& store, std::string* damage = nullptr);
 
+// A history as a dispatcher has it: bodies (keyspace 1), marks that they went out (2), ends; some live long.
+class History {
+public:
+    explicit History(std::uint64_t seed) : chance_(seed) {}
+    store::Batch one();
+
+private:
+    std::mt19937_64 chance_;
+    std::vector<std::string> live_;
+    int next_ = 0;
+};
+
 class StoreRig {
 public:
     explicit StoreRig(standins::Disk& disk, store::Options options)
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -22,30 +22,9 @@
     return o;
 }
 
-// A history as a dispatcher has it: bodies, marks that they went out, ends; some live long.
-struct History {
-    std::mt19937_64 chance{7};
-    std::vector<std::string> live;
-    int next = 0;
-    Batch one() {
-        Batch batch;
-        if (live.size() > 12 || (!live.empty() && chance() % 3 == 0)) {
-            const auto at = chance() % live.size();
-            batch.erase(messages, live[at]).erase(marks, live[at]);
-            live.erase(live.begin() + static_cast<long>(at));
-        } else if (!live.empty() && chance() % 2 == 0) {
-            batch.put(marks, live[chance() % live.size()], "went out " + std::to_string(next++), 900);
-        } else {
-            live.push_back("m" + std::to_string(next++));
-            batch.put(messages, live.back(), std::string(chance() % 200, 'b'), 900);
-        }
-        return batch;
-    }
-};
-
 // Writes so much that segments are sealed and compacted.
 void play(StoreRig& rig, int batches) {
-    History history;
+    History history(7);
     for (int i = 0; i < batches; ++i) {
         ASSERT_TRUE(rig.write(history.one())) << rig.store().why();
         if (i % 5 == 0) rig.step();
@@ -151,7 +130,7 @@
     with.first = ~Version{0} - 20;
     StoreRig rig(disk, with);
     ASSERT_TRUE(rig.open());
-    History history;
+    History history(7);
     for (int i = 0; i < 200; ++i) {
         ASSERT_TRUE(rig.write(history.one()));
         if (i % 10 != 9) continue;
