Serve operators: ready, figures, drain and undrain on an address of their own

Change: src/admin (front, callers bounded, descriptors kept aside), dispatch::Figures counted where messages end, src/lifecycle read by /up, /ready, signals and drain, src/serve split out of main.cpp.

--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -186,9 +186,11 @@
 
     // For whoever watches; they change nothing. Until when a message that has just failed sleeps before it
     // may be sent again: a time in the past where it does not. The calls at a time that a host's window
-    // allows, 0 where it is not known.
+    // allows, 0 where it is not known. Whether a host is left out: not in use by the list, or judged to be
+    // out.
     Time sleeps_until(MessageId id) const;
     double window(EndpointId id) const;
+    bool avoids(EndpointId id) const;
 
 private:
     class Choice;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -185,6 +185,12 @@
     double window(EndpointId id) const {
         return by_id_.count(id) == 0 ? 0 : lanes_[endpoints_[by_id_.at(id)].lane].window;
     }
+    bool avoids(EndpointId id) const {
+        const auto known = by_id_.find(id);
+        if (known == by_id_.end()) return true;
+        const auto& e = endpoints_[known->second];
+        return e.state != ListingState::ready || e.health.out || lanes_[e.lane].health.out;
+    }
 
 private:
     void ask() { act(Subscribe{}); }
@@ -322,19 +328,12 @@
         lane.tokens_at = now_;
     }
 
-    // The cold return. Rule: what reaches a returning destination in fall_ms stays under B = tip_multiple x
-    // warmth x rate x fall_ms, refused calls too; from two thirds on, senders that saw a call fail in the
-    // outage are to blame. None knows how many did, how warm it is, or when it returns. So all N are taken to
-    // hold messages for it. Trials: each sends an Nth of trial_part of B at the least warmth; below one call
-    // in fall_ms, at turns every `gap` from a drawn moment, so that what brings senders together (clumps, an
-    // outage's start, the end of one wait) moves no turns; saved up, turns would be a burst: each is lost
-    // after fall_ms. Warmth: deliveries and short waits come amid outages that fail most calls too, so it
-    // counts only from the first delivery after a failure to the latest. Until warm that sender may go on (1
-    // - start) / (trial_part x start x ramp) times a second: trials free trial_part x B senders in fall_ms,
-    // so all grow no faster than B. Where a share q of calls fails, each goes on for 1 / q calls: in all
-    // trial_part x B / q. A call more after a first failure: no more than first tries of senders that knew
-    // nothing. Holds for backlogs, hot destinations, any number of senders. Hurts where few hold messages
-    // (most of the share is unused) and after failures that were no outage.
+    // The cold return; docs/design/cold-return.md has the reasons. Rule: what reaches a returning destination
+    // in fall_ms stays under B = tip_multiple x warmth x rate x fall_ms, refused calls too. Trials: each of N
+    // senders sends an Nth of trial_part of B at the least warmth; below one call in fall_ms, at turns every
+    // `gap` from a drawn moment, each lost after fall_ms. Warmth counts from the first delivery after a
+    // failure to the latest; until warm a sender may go on (1 - start) / (trial_part x start x ramp) times a
+    // second.
     bool cold(const Health& h) const {
         return s_.tip_multiple > 0 && std::min(now_, h.last_ok) < h.back + s_.ramp_ms;
     }
@@ -1072,5 +1071,6 @@
 }
 Time Sender::sleeps_until(MessageId id) const { return choice_->sleeps_until(id); }
 double Sender::window(EndpointId id) const { return choice_->window(id); }
+bool Sender::avoids(EndpointId id) const { return choice_->avoids(id); }
 
 }  // namespace brasslift
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -108,6 +108,11 @@
     return listed;
 }
 
+std::size_t Cluster::listed() const {
+    return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(),
+                                                  [](const auto& host) { return !host.second.state.gone; }));
+}
+
 // As if the list had said that it is gone.
 void Cluster::leave(Known& known, dispatch::Listed& listed) {
     if (known.state.gone) return;
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -43,6 +43,7 @@
     // From now on discovery is there: the watch leaves its connection and goes on where it was.
     void move_to(runtime::Address discovery);
     std::size_t known() const { return hosts_.size(); }
+    std::size_t listed() const;            // hosts of discovery's list, those that drain included
     bool heard() const { return heard_; }  // a list or changes, since the start
 
 private:
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,6 +50,7 @@
     config.name = text_or(*flat, "name", "dispatcher");
     config.listen = text_or(*flat, "listen");
     config.discovery = text_or(*flat, "discovery");
+    config.admin = text_or(*flat, "admin");
     config.seed = std::strtoull(text_or(*flat, "seed", "1").c_str(), nullptr, 16);
     config.sockets = static_cast<std::size_t>(number_or(*flat, "limits.sockets", 1024));
     config.disk_mb = number_or(*flat, "limits.disk_mb", 3);
@@ -89,6 +90,7 @@
     auto config = read_config(read_file(path));
     if (const auto name = variable("PROXY_NAME"); !name.empty()) config.name = name;
     if (const auto listen = variable("PROXY_LISTEN"); !listen.empty()) config.listen = listen;
+    if (const auto admin = variable("PROXY_ADMIN"); !admin.empty()) config.admin = admin;
     // The file is what a reload replaces, so it is never older than the environment of the process.
     if (config.discovery.empty()) config.discovery = variable("PROXY_DISCOVERY");
     config.state_folder = variable("PROXY_STATE");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -18,6 +18,7 @@
 
 struct Config {
     std::string name, listen, discovery, state_folder;
+    std::string admin;  // the operators' address; empty: none
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
     double disk_mb = 3, memory_mb = 192;
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -138,7 +138,10 @@
     when_durable([this, id, to = std::move(to)](bool durable) {
         const auto client = to.lock();
         if (durable && client && client->present()) return client->answer({Reply::taken, 0, id});
-        if (client) client->answer({Reply::full, full_pause_ms, 0});
+        if (client) {
+            if (const auto* const m = ledger_.find(id)) ++figures_[m->message_class].throttled;
+            client->answer({Reply::full, full_pause_ms, 0});
+        }
         // Nobody was told that it was taken on: it must not run. Its call, if one was decided, waits behind
         // this.
         auto* const m = ledger_.find(id);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -20,6 +20,7 @@
       waker_(scheduler),
       mailbox_(waker_),
       settings_(settings),
+      figures_(settings.classes.size()),
       sender_(settings, seed),
       ledger_(ledger),
       upstream_(upstream),
@@ -147,6 +148,8 @@
 void Dispatcher::refuse(const Submission& s, Client& client, Reply reply, Refusal by, double pause_ms,
                         std::string_view rule) {
     if (observer_ != nullptr) observer_->refused(now_, seen_of(s), by, rule, pause_ms);
+    auto& figures = figures_[s.message_class];
+    ++(reply == Reply::nowhere || reply == Reply::conflict ? figures.faulted : figures.throttled);
     client.answer({reply, pause_ms, 0});
 }
 
@@ -247,11 +250,13 @@
     for (auto& [id, candidate] : std::exchange(candidates_, {})) {
         const auto client = candidate.client.lock();
         const auto name = candidate.message.name;
+        const auto message_class = candidate.message.message_class;
         if (observer_ != nullptr) candidate.message.mark = observer_->begins(now_, id, seen_of(candidate));
         if (!client) {
             withdraw(id, Refusal::gone);
         } else if (const auto* const m = ledger_.take(std::move(candidate.message), candidate.print);
                    m == nullptr) {
+            ++figures_[message_class].throttled;
             client->answer({Reply::full, full_pause_ms, 0});
             withdraw(id, Refusal::journal);
         } else {
@@ -303,6 +308,8 @@
         auto* const left = ledger_.find(v.id);
         if (left != nullptr && outcome.over) {
             let_go(v.id);  // nothing where it has ended before
+            if (left->ending == Ending::none && v.result == Result::ok)
+                ++figures_[left->message_class].fulfilled;
             if (observer_ != nullptr && left->ending == Ending::none)
                 observer_->ended(now_, *left, Ending::done, 0);
             ledger_.end(*left, Ending::done, 0);
@@ -377,6 +384,7 @@
         if (gate_) gate_->undo(refuse.id);
         if (observer_ != nullptr)
             observer_->refused(now_, seen_of(waiting->second), Refusal::module, {}, refuse.pause_ms);
+        ++figures_[waiting->second.message.message_class].throttled;
         if (const auto client = waiting->second.client.lock())
             client->answer({Reply::refused, refuse.pause_ms, 0});
         coming_.erase(waiting->second.message.name);
@@ -393,6 +401,8 @@
 void Dispatcher::end(Owed& m, Ending ending, double again_ms) {
     if (m.ending != Ending::none) return;
     const auto again = static_cast<std::uint32_t>(std::clamp(again_ms, 0.0, 1e6));
+    auto& figures = figures_[m.message_class];
+    ++(ending == Ending::failed ? figures.faulted : figures.throttled);
     let_go(m.id);
     if (observer_ != nullptr) observer_->ended(now_, m, ending, again);
     ledger_.end(m, ending, again);
@@ -406,6 +416,12 @@
     return sums;
 }
 
+std::size_t Dispatcher::avoided() const {
+    return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(), [this](const auto& host) {
+        return host.second.state != ListingState::gone && sender_.avoids(host.second.endpoint);
+    }));
+}
+
 void Dispatcher::do_action(const SetTimer& timer) { timers_.emplace(timer.at, timer.timer); }
 void Dispatcher::do_action(const Close& close) { upstream_.close_idle(close.endpoint); }
 void Dispatcher::do_action(const Log& log) { runtime::log("module", "%s", log.text.c_str()); }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "dispatch/durable.hpp"
+#include "dispatch/figures.hpp"
 #include "dispatch/ledger.hpp"
 #include "dispatch/observer.hpp"
 #include "dispatch/types.hpp"
@@ -39,6 +40,10 @@
 
     runtime::Mailbox<Letter>& mailbox() { return mailbox_; }
     std::size_t flying() const { return flying_; }
+    const Figures& figures() const { return figures_; }
+    // A front had no room for a request of that class.
+    void throttled(std::size_t message_class) { ++figures_[message_class].throttled; }
+    std::size_t avoided() const;  // listed hosts that nothing is sent to at the moment
 
 private:
     struct Candidate {  // a stream that the module has seen but that is not answered yet
@@ -118,6 +123,7 @@
     runtime::Waker waker_;
     runtime::Mailbox<Letter> mailbox_;
     Settings settings_;
+    Figures figures_;
     Sender sender_;
     Ledger& ledger_;
     Upstream& upstream_;
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -28,6 +28,7 @@
 constexpr double crowd_pause_ms = 500;
 constexpr std::size_t most_name = 128, most_linger = 256 * 1024;
 constexpr double most_deadline_ms = 24 * 3600 * 1000.0;
+constexpr double drain_step_ms = 50;
 
 bool is_name(const std::string& text) {
     return !text.empty() && text.size() <= most_name &&
@@ -69,6 +70,14 @@
     return trace;
 }
 
+// The class that a path names, -1 where it names none.
+int class_of(std::string_view path, const std::vector<std::string>& classes) {
+    path = path.substr(0, path.find('?'));
+    if (path.empty() || path.front() != '/') return -1;
+    path.remove_prefix(1);
+    return config::place_of(classes, path.substr(0, path.find('/')));
+}
+
 std::string seconds(double ms) {
     char text[32];
     std::snprintf(text, sizeof text, "%.3f", std::max(0.0, ms) / 1000);
@@ -78,11 +87,8 @@
 }  // namespace
 
 Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced) {
-    std::string_view path = request.target;
-    path = path.substr(0, path.find('?'));
-    if (path.empty() || path.front() != '/') return 400;
-    path.remove_prefix(1);
-    const int message_class = config::place_of(config.classes, path.substr(0, path.find('/')));
+    if (request.target.empty() || request.target.front() != '/') return 400;
+    const int message_class = class_of(request.target, config.classes);
     if (message_class < 0) return 404;
     if (request.method != "POST") return 405;
     const auto& h = request.headers;
@@ -135,8 +141,9 @@
     bool busy = false, served = false, evicted = false;
 };
 
-Server::Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits)
-    : scheduler_(scheduler), config_(config), limits_(limits), waker_(scheduler) {}
+Server::Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits,
+               const lifecycle::Lifecycle& lifecycle)
+    : scheduler_(scheduler), config_(config), limits_(limits), lifecycle_(lifecycle), waker_(scheduler) {}
 
 bool Server::listen(runtime::Address address) {
     auto listener = runtime::listen_on(scheduler_, address, waker_);
@@ -176,7 +183,9 @@
     if (open_ >= limits_.connections && !make_room()) {
         // Every other one has a request that is being answered. What has come is read: a close with bytes
         // unread would take the answer with it.
-        connection->socket.read(scratch_.data(), scratch_.size());
+        const auto got = connection->socket.read(scratch_.data(), scratch_.size());
+        if (got.io == runtime::Io::done) connection->parser.feed({scratch_.data(), got.count});
+        turned_away(connection->parser.message().target);
         connection->socket.write(reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
         connection->socket.end_sending();
         return;
@@ -234,6 +243,31 @@
         if (rank_of(*c) == 1 && !c->socket.readable()) evict(*c);
 }
 
+void Server::drain() {
+    if (closing_drained_) return;
+    closing_drained_ = true;
+    scheduler_.spawn(close_drained());
+}
+
+runtime::Task<void> Server::close_drained() {
+    while (lifecycle_.draining()) {
+        const double drained = lifecycle_.drained_ms(scheduler_.now());
+        // One with bytes unread is read first.
+        for (const auto& c : connections_)
+            if (!c->evicted && !c->socket.readable() &&
+                lifecycle::closes_in_drain(
+                    {c->busy, c->parser.started(), c->served, scheduler_.now() - c->since}, drained))
+                evict(*c);
+        co_await runtime::sleep_until(scheduler_, scheduler_.now() + drain_step_ms);
+    }
+    closing_drained_ = false;
+}
+
+void Server::turned_away(std::string_view target) const {
+    if (const int place = class_of(target, config_.classes); place >= 0)
+        turned_away_(static_cast<std::size_t>(place));
+}
+
 void Server::close_idle() {
     for (const auto& c : connections_)
         if (!c->busy && !c->evicted && !c->parser.started()) evict(*c);
@@ -242,7 +276,7 @@
 // What a stream is answered without the core.
 std::string Server::page(const http::Message& request, bool close) const {
     const bool method = request.method == "GET" || request.method == "HEAD";
-    return reply(!method ? 405 : ready_ && !winding_down_ ? 200 : 503, close);
+    return reply(!method ? 405 : lifecycle_.ready() ? 200 : 503, close);
 }
 
 std::string Server::reply(int status, bool close) const {
@@ -299,7 +333,7 @@
 runtime::Task<bool> Server::answer(std::shared_ptr<Connection> connection, bool& close) {
     auto& c = *connection;
     auto request = c.parser.take();
-    close = !request.keeps_alive() || winding_down_;
+    close = !request.keeps_alive() || lifecycle_.sends_away();
     if (request.target == "/up") co_return co_await write_all(c, page(request, close));
     auto read = read_stream(request, config_, scheduler_.now(), traced_);
     if (const int* const status = std::get_if<int>(&read)) {
@@ -317,7 +351,7 @@
     }
     const bool faulty =
         answer->reply == dispatch::Reply::nowhere || answer->reply == dispatch::Reply::conflict;
-    close = close || winding_down_ || faulty;
+    close = close || lifecycle_.sends_away() || faulty;
     const bool written = co_await write_all(c, reply(*answer, close));
     if (!written && answer->id != 0) untold_(answer->id);
     co_return written;
@@ -352,6 +386,7 @@
         }
         if (c.parser.fault() != http::Fault::none) co_return false;
         if (!hold(c, c.parser.message().body.capacity() + c.unread.capacity())) {
+            turned_away(c.parser.message().target);
             co_await write_all(c, reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
             co_return false;
         }
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -10,6 +10,7 @@
 #include "config/config.hpp"
 #include "dispatch/types.hpp"
 #include "http/parser.hpp"
+#include "lifecycle/lifecycle.hpp"
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
 
@@ -29,18 +30,22 @@
         double request_ms = 2000;             // within which it is whole
     };
     using Submit = std::function<void(dispatch::Submission)>;
-    Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits);
+    Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits,
+           const lifecycle::Lifecycle& lifecycle);
     void limit(Limits limits) { limits_ = limits; }
 
     bool listen(runtime::Address address);
     void submit_to(Submit submit) { submit_ = std::move(submit); }
     // Told of each message whose 202 could not be written.
     void untold_to(std::function<void(MessageId)> untold) { untold_ = std::move(untold); }
-    void ready(bool is) { ready_ = is; }
+    // Told of each request of a class that was turned away here, for want of room.
+    void turned_away_to(std::function<void(std::size_t)> turned_away) {
+        turned_away_ = std::move(turned_away);
+    }
     void trace(bool on) { traced_ = on; }
     runtime::Task<void> run();
-    // From now on every answer says that its connection closes.
-    void wind_down() { winding_down_ = true; }
+    // Closes connections as they fall idle for as long as the lifecycle says that clients are sent away.
+    void drain();
     void stop_listening();
     void close_idle();
     std::size_t open() const { return open_; }
@@ -61,18 +66,22 @@
     void evict(Connection& c);
     void drop_spare();
     bool hold(Connection& c, std::size_t bytes);
+    runtime::Task<void> close_drained();
+    void turned_away(std::string_view target) const;
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
     Limits limits_;
+    const lifecycle::Lifecycle& lifecycle_;
     runtime::Waker waker_;
     runtime::Socket listener_;
     std::list<std::shared_ptr<Connection>> connections_;
     Submit submit_;
     std::function<void(MessageId)> untold_;
+    std::function<void(std::size_t)> turned_away_;
     std::size_t open_ = 0, held_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
-    bool ready_ = false, winding_down_ = false, traced_ = false;
+    bool traced_ = false, closing_drained_ = false;
 };
 
 }  // namespace brasslift::downstream
--- /dev/null
+++ b/src/serve/life.cpp
@@ -0,0 +1,229 @@
+#include "serve/life.hpp"
+
+#include <algorithm>
+#include <exception>
+#include <stdexcept>
+
+#include "admin/figures.hpp"
+#include "commands/platform.hpp"
+#include "runtime/log.hpp"
+
+namespace brasslift::serve {
+namespace {
+
+// After SIGTERM clients still come for a while and the kill is 3.7 s away at the soonest.
+constexpr double take_on_ms = 600, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
+// By then telemetry has had its last try, whatever became of it.
+constexpr double untold_ms = 3600;
+// The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
+constexpr double fresh_list_ms = 100;
+// The folder's limit counts in millions of bytes here; the store stays well under it.
+constexpr double disk_share = 0.8;
+
+std::size_t part_of(double whole, double part) { return static_cast<std::size_t>(whole * part); }
+
+plan::Bounds bounds_of(const std::shared_ptr<const plan::Plan>& plan) {
+    return plan ? plan->rules().bounds : plan::Bounds{};
+}
+
+downstream::Server::Limits downstream_limits(const config::Config& config, const plan::Bounds& bounds) {
+    return {part_of(static_cast<double>(config.sockets), bounds.client_descriptors),
+            part_of(config.memory_mb * 1e6, bounds.request_memory),
+            {bounds.head, bounds.body},
+            bounds.request_ms};
+}
+
+std::size_t idle_limit(const config::Config& config, const plan::Bounds& bounds) {
+    return part_of(static_cast<double>(config.sockets), bounds.idle_descriptors);
+}
+
+upstream::PoolSettings pool_settings(const config::Config& config, const plan::Bounds& bounds) {
+    upstream::PoolSettings settings;
+    settings.dial_timeout_ms = config.dial_timeout_ms;
+    if (config.settings.conn_idle_ms > 0) settings.conn_idle_ms = config.settings.conn_idle_ms;
+    settings.drain_grace_ms = config.drain_grace_ms;
+    settings.most_idle = idle_limit(config, bounds);
+    return settings;
+}
+
+store::Options store_options(const config::Config& config, const std::shared_ptr<const plan::Plan>& plan) {
+    const auto rule = plan ? plan->rules().store : plan::StoreRule{};
+    store::Options options;
+    options.budget = static_cast<std::uint64_t>(config.disk_mb * 1e6 * disk_share);
+    options.durability = rule.durability == plan::StoreRule::Durability::none   ? store::Durability::none
+                         : rule.durability == plan::StoreRule::Durability::each ? store::Durability::each
+                                                                                : store::Durability::interval;
+    options.compress = rule.compress;
+    options.id = config.seed;
+    options.keyspaces = dispatch::ledger_keyspaces();
+    return options;
+}
+
+double sync_interval(const std::shared_ptr<const plan::Plan>& plan) {
+    return plan ? plan->rules().store.interval_ms : 0;
+}
+
+runtime::Address address_of(const std::string& text, const char* whose) {
+    const auto address = runtime::parse_address(text);
+    if (!address) throw config::BadConfig(std::string("the address ") + whose + " cannot be read");
+    return *address;
+}
+
+}  // namespace
+
+Life::Life(std::string operators, const std::string& version)
+    : operators_(std::move(operators)),
+      config_(config::load_config()),
+      plan_(commands::load_plan(operators_, config_)),
+      listen_(address_of(config_.listen, "to listen on")),
+      discovery_(address_of(config_.discovery, "of discovery")),
+      signalled_(scheduler_),
+      signals_(scheduler_, signalled_),
+      files_(store::files_in(config_.state_folder)),
+      store_(*files_, store_options(config_, plan_)),
+      ledger_(store_, runtime::wall_now),
+      keeper_(scheduler_, store_, *files_, sync_interval(plan_)),
+      syncs_(keeper_),
+      pool_(scheduler_, pool_settings(config_, bounds_of(plan_))),
+      notices_(scheduler_, discovery_),
+      dispatcher_(scheduler_, config_.settings, config_.seed, ledger_, pool_, notices_),
+      cluster_(scheduler_, config_, discovery_, pool_),
+      server_(scheduler_, config_, downstream_limits(config_, bounds_of(plan_)), lifecycle_),
+      admin_(scheduler_, {[this] { return lifecycle_.ready(); },
+                          [this] {
+                              const bool drains = lifecycle_.drain(scheduler_.now());
+                              if (drains) server_.drain();
+                              return drains;
+                          },
+                          [this] { return lifecycle_.undrain(); }, [this] { return figures(); }}),
+      watch_({scheduler_, config_, dispatcher_, ledger_, store_, server_, pool_}, version) {
+    connect_parts();
+    open_admin();
+    recover();
+    begin();
+}
+
+void Life::connect_parts() {
+    auto& core = dispatcher_.mailbox();
+    pool_.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
+    notices_.report_to([&](dispatch::Told told) { core.put(std::move(told)); });
+    cluster_.tell_to([&](dispatch::Listed listed) { core.put(std::move(listed)); });
+    server_.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
+    server_.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
+    server_.turned_away_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
+    keeper_.tell_to([&] { core.put(dispatch::Synced{}); });
+}
+
+void Life::open_admin() {
+    if (config_.admin.empty()) return;
+    if (!admin_.listen(address_of(config_.admin, "for operators")))
+        throw std::runtime_error("cannot listen for operators on " + config_.admin);
+    scheduler_.spawn(admin_.run());
+}
+
+// What outlasted the last process. What could not be read is told here.
+void Life::recover() {
+    store::Report report;
+    const auto now = static_cast<store::Stamp>(runtime::wall_now());
+    if (const auto fault = store_.open(now, report); fault != store::Fault::none)
+        throw std::runtime_error("the store cannot be opened: " + store_.why());
+    for (const auto& finding : report.findings)
+        runtime::log("store", "%s: %s (%llu bytes)",
+                     finding.number == 0 ? "store" : store::segment_name(finding.number).c_str(),
+                     finding.why.c_str(), static_cast<unsigned long long>(finding.bytes));
+    if (!ledger_.carry_over(*files_))
+        throw std::runtime_error("the journal cannot be carried over: " + store_.why());
+    if (!ledger_.recover(report)) throw std::runtime_error("the store takes no records: " + store_.why());
+}
+
+void Life::begin() {
+    watch_.follow(plan_ ? &plan_->rules() : nullptr);
+    if (!server_.listen(listen_)) throw std::runtime_error("cannot listen on " + config_.listen);
+    const auto known = cluster::read_news(config_.known, config_);
+    auto first = known ? cluster_.apply(*known) : dispatch::Listed{};
+    first.from_config = true;
+    scheduler_.spawn(cluster_.run());
+    scheduler_.spawn(cluster_.watch());
+    for (const Time until = scheduler_.now() + fresh_list_ms;
+         !cluster_.heard() && runtime::steady_now() < until;)
+        scheduler_.run_until(runtime::steady_now() + 2);
+    if (plan_) dispatcher_.plan_by(plan_);
+    if (store_.options().durability != store::Durability::none) dispatcher_.sync_by(&syncs_);
+    dispatcher_.recover(first);
+    scheduler_.spawn(keeper_.run());
+    scheduler_.spawn(dispatcher_.run());
+    scheduler_.spawn(notices_.run());
+    lifecycle_.begin();  // all that is owed is known; connections that came meanwhile wait in the queue
+    scheduler_.spawn(server_.run());
+    scheduler_.spawn(until_stopped());
+    runtime::log("main", "%s serves %s; %zu messages were owed", config_.name.c_str(), config_.listen.c_str(),
+                 ledger_.held());
+}
+
+void Life::run() {
+    scheduler_.run();
+    scheduler_.drop_tasks();
+}
+
+std::string Life::figures() const {
+    return admin::statsd({config_.classes, dispatcher_.figures(), pool_.written(), ledger_.held(),
+                          cluster_.listed(), dispatcher_.avoided(), configs_taken_, configs_refused_});
+}
+
+// What a reload changes while the program runs. The rest of the config shapes the module and the store, and
+// takes effect at the next start. The operators' file holds whole from now on; a fault in either file and
+// both stay as they were.
+void Life::reload() {
+    try {
+        const auto fresh = config::load_config();
+        const Sender usable(fresh.settings, fresh.seed);  // throws where the module could not work with them
+        const auto discovery = address_of(fresh.discovery, "of discovery");
+        // Judged by what runs: classes and tenants keep their places until the next start.
+        auto plan = commands::load_plan(operators_, config_);
+        cluster_.move_to(discovery);
+        notices_.move_to(discovery);
+        server_.limit(downstream_limits(fresh, bounds_of(plan)));
+        pool_.keep_at_most(idle_limit(fresh, bounds_of(plan)));
+        if (!operators_.empty()) watch_.follow(&plan->rules());
+        if (plan) dispatcher_.mailbox().put(dispatch::Planned{std::move(plan)});
+        if (fresh.classes != config_.classes || fresh.tenants != config_.tenants ||
+            fresh.listen != config_.listen)
+            runtime::log("main", "classes, customers and the address served change at the next start only");
+        runtime::log("main", "config read again; discovery is at %s", fresh.discovery.c_str());
+        ++configs_taken_;
+    } catch (const std::exception& fault) {
+        ++configs_refused_;
+        runtime::log("main", "the config stays as it was: %s", fault.what());
+    }
+}
+
+runtime::Task<void> Life::until_stopped() {
+    for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
+        signal = signals_.next();
+        if (signal == SIGHUP) reload();
+        if (signal == 0) co_await signalled_.wait();
+    }
+    const Time told = scheduler_.now();
+    runtime::log("main", "told to stop: %zu messages are owed", ledger_.held());
+    lifecycle_.stop();
+    watch_.hurry(told + untold_ms, false);
+    dispatcher_.mailbox().put(dispatch::Stop{told + last_call_ms});
+    co_await runtime::sleep_until(scheduler_, told + take_on_ms);
+    server_.stop_listening();
+    const auto done = [&] {
+        return dispatcher_.flying() == 0 && ledger_.held() == 0 && notices_.empty() && server_.open() == 0;
+    };
+    while (scheduler_.now() < told + leave_ms && !done()) {
+        if (scheduler_.now() > told + last_call_ms) server_.close_idle();
+        co_await runtime::sleep_until(scheduler_, scheduler_.now() + poll_ms);
+    }
+    runtime::log("main", "stopped: %zu messages are left to the next start", ledger_.held());
+    watch_.hurry(told + untold_ms, true);
+    while (!watch_.done() && scheduler_.now() < told + untold_ms)
+        co_await runtime::sleep_until(scheduler_, std::min(scheduler_.now() + poll_ms, told + untold_ms));
+    if (!watch_.done())
+        runtime::log("main", "the collector did not take %zu items in time", watch_.waiting());
+    scheduler_.stop();
+}
+
+}  // namespace brasslift::serve
--- /dev/null
+++ b/src/serve/life.hpp
@@ -0,0 +1,77 @@
+// One life of the dispatcher: its parts, put together, from the start to the end of the process. Decides
+// nothing.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "admin/server.hpp"
+#include "cluster/cluster.hpp"
+#include "cluster/notices.hpp"
+#include "commands/watch.hpp"
+#include "config/config.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "dispatch/ledger.hpp"
+#include "downstream/server.hpp"
+#include "lifecycle/lifecycle.hpp"
+#include "runtime/scheduler.hpp"
+#include "serve/signals.hpp"
+#include "store/keeper.hpp"
+#include "store/store.hpp"
+#include "upstream/pool.hpp"
+
+namespace brasslift::serve {
+
+// The store's actor as the core's port; neither knows the other.
+class Syncs : public dispatch::Durable {
+public:
+    explicit Syncs(store::Keeper& keeper) : keeper_(keeper) {}
+    bool reached(store::Version version) const override { return keeper_.reached(version); }
+    bool failed() const override { return keeper_.failed(); }
+    void want() override { keeper_.want(); }
+
+private:
+    store::Keeper& keeper_;
+};
+
+class Life {
+public:
+    // `operators`: the operators' file; empty: none. Throws where the dispatcher cannot start.
+    Life(std::string operators, const std::string& version);
+    // Until a signal ends it.
+    void run();
+
+private:
+    void connect_parts();
+    void open_admin();
+    void recover();
+    void begin();
+    void reload();
+    runtime::Task<void> until_stopped();
+    std::string figures() const;
+
+    std::string operators_;
+    config::Config config_;
+    std::shared_ptr<const plan::Plan> plan_;
+    runtime::Address listen_, discovery_;
+    lifecycle::Lifecycle lifecycle_;
+    runtime::Scheduler scheduler_;
+    runtime::Waker signalled_;
+    Signals signals_;  // from here on a signal waits until it can be served
+    std::unique_ptr<store::Files> files_;
+    store::Store store_;
+    dispatch::Ledger ledger_;
+    store::Keeper keeper_;
+    Syncs syncs_;
+    upstream::Pool pool_;
+    cluster::Notices notices_;
+    dispatch::Dispatcher dispatcher_;
+    cluster::Cluster cluster_;
+    downstream::Server server_;
+    admin::Server admin_;
+    commands::Watch watch_;
+    std::uint64_t configs_taken_ = 0, configs_refused_ = 0;
+};
+
+}  // namespace brasslift::serve
--- /dev/null
+++ b/src/serve/signals.hpp
@@ -0,0 +1,38 @@
+// The signals that the program heeds, as a descriptor on the loop.
+#pragma once
+
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+#include "runtime/scheduler.hpp"
+
+namespace brasslift::serve {
+
+class Signals {
+public:
+    Signals(runtime::Scheduler& scheduler, runtime::Waker& waker) {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
+        sigprocmask(SIG_BLOCK, &set, nullptr);
+        signal(SIGPIPE, SIG_IGN);
+        signal(SIGXFSZ, SIG_IGN);  // a journal that may not grow is a failed write, not the end
+        fd_ = runtime::Descriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+        if (!fd_ || scheduler.watch(fd_.get(), waker) == 0) throw std::runtime_error("signals cannot be had");
+    }
+    // The next signal that came, 0 if there is none.
+    int next() const {
+        signalfd_siginfo info;
+        return ::read(fd_.get(), &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
+    }
+
+private:
+    runtime::Descriptor fd_;
+};
+
+}  // namespace brasslift::serve
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -311,6 +311,7 @@
         co_await flight.waker.wait(next_due(flight));
     }
     flight.ended.cause = Cause::none;
+    written_ += flight.call.parcels.size();
     co_return true;
 }
 
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -44,6 +44,9 @@
     void close_idle(EndpointId host) override;
     std::size_t idle() const { return idle_; }
     std::size_t known() const { return hosts_.size(); }
+    std::uint64_t written() const {
+        return written_;
+    }  // messages, each time that the last byte of its call left
     void keep_at_most(std::size_t idle) { settings_.most_idle = idle; }
 
 private:
@@ -93,6 +96,7 @@
     std::map<EndpointId, HostPtr> hosts_;
     std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
+    std::uint64_t written_ = 0;
     std::map<std::string, std::size_t> idle_of_;  // by pool of the operators
 };
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -206,8 +206,8 @@
 
 // Out of descriptors an idle client makes room for one that has something to hand in.
 TEST(Dispatcher, ServesOnWhenItsDescriptorsRunOut) {
-    std::string script = "start 0 20\n";
-    for (int i = 0; i < 30; ++i) script += "c" + std::to_string(i) + " send \\n\nwait 5\n";
+    std::string script = "start 0 30\n";
+    for (int i = 0; i < 39; ++i) script += "c" + std::to_string(i) + " send \\n\nwait 5\n";
     script += "wait 300\nc40 post safe m1 8000m 9\nc40 expect HTTP/1.1 202\nc0 closed\n";
     EXPECT_EQ(play(script), "");
 }
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -90,8 +90,9 @@
         folder_ = (fs::temp_directory_path() / "brasslift-test-XXXXXX").string();
         if (::mkdtemp(folder_.data()) == nullptr) throw Fault("no folder for the test");
         fs::create_directory(folder_ + "/state");
-        Listener own;  // a free port for the program itself
+        Listener own, operators;  // free ports for the program itself
         port_ = own.port;
+        admin_port_ = operators.port;
     }
     ~Stage() {
         if (child_ > 0) signal_child(SIGKILL), reap();
@@ -178,6 +179,8 @@
         }
         if (what == "post") return post(peer(who), rest);
         if (what == "answer") return answer(peer(who), rest);
+        if (what == "call")
+            return send(peer(who), rest + " HTTP/1.1\r\nHost: n1\r\nContent-Length: 0\r\n\r\n");
         if (what == "close") return peer(who).fd.reset();
         if (what == "half-close") return ::shutdown(peer(who).fd.get(), SHUT_WR), void();
         if (what == "expect") {
@@ -341,7 +344,7 @@
 
     // The peers of that name: one, or for a single letter all that have come.
     std::vector<Peer*> all(const std::string& who) {
-        if (who[0] == 'c') return {&peer(who)};
+        if (calls_in(who)) return {&peer(who)};
         Listener& at = listener(who[0]);
         for (pollfd state{at.fd.get(), POLLIN, 0}; ::poll(&state, 1, 0) > 0;)
             peers_[who[0] + std::to_string(++counts_[who[0]])].fd =
@@ -356,8 +359,10 @@
         return name == 'h' ? host1_ : name == 'g' ? host2_ : name == 'e' ? moved_ : discovery_;
     }
 
+    static bool calls_in(const std::string& who) { return who[0] == 'c' || who[0] == 'o'; }
+
     Peer& peer(const std::string& who) {
-        if (who[0] != 'c') {
+        if (!calls_in(who)) {
             if (who.size() == 1 && matched_[who[0]] != nullptr) return *matched_[who[0]];
             const auto found = all(who);
             if (found.size() != 1) throw Fault("no such connection came");
@@ -366,7 +371,7 @@
         auto& p = peers_[who];
         if (!p.fd && !p.ended) {
             p.fd = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-            const auto at = loopback(port_);
+            const auto at = loopback(who[0] == 'o' ? admin_port_ : port_);
             if (::connect(p.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
                 throw Fault("cannot connect");
         }
@@ -385,11 +390,13 @@
 
     void start(rlim_t file_limit, rlim_t files) {
         write_config();
-        const std::map<std::string, std::string> told{{"PROXY_NAME", "n1"},
-                                                      {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(port_)},
-                                                      {"PROXY_DISCOVERY", discovery_.address()},
-                                                      {"PROXY_STATE", folder_ + "/state"},
-                                                      {"PROXY_CONFIG", folder_ + "/config.json"}};
+        const std::map<std::string, std::string> told{
+            {"PROXY_NAME", "n1"},
+            {"PROXY_ADMIN", "127.0.0.1:" + std::to_string(admin_port_)},
+            {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(port_)},
+            {"PROXY_DISCOVERY", discovery_.address()},
+            {"PROXY_STATE", folder_ + "/state"},
+            {"PROXY_CONFIG", folder_ + "/config.json"}};
         child_ = ::fork();
         if (child_ == 0) {
             for (const auto& [name, value] : told) ::setenv(name.c_str(), value.c_str(), 1);
@@ -430,7 +437,7 @@
 
     std::string folder_;
     double disk_mb_ = 3;
-    std::uint16_t port_ = 0;
+    std::uint16_t port_ = 0, admin_port_ = 0;
     Listener discovery_, moved_, host1_, host2_;
     std::map<std::string, Peer> peers_;
     std::map<char, int> counts_;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -15,13 +15,14 @@
 //   PEER close | half-close | closed
 //   PEER post CLASS ID DEADLINE DEST [SIZE [OWNER]]    a client's request; OWNER: acme, bolt or coop
 //   PEER answer STATUS [HEADER: VALUE]         an empty HTTP answer
+//   PEER call METHOD PATH                      an operator's call
 //   k behaves [N] BEHAVIOUR        as standins/collector.hpp has it; for the next N requests, or from now on
 //   k down | k up
 //   k shows span NAME [KEY=VALUE ...]         it comes within 5 s; likewise `metric NAME VALUE [KEY=VALUE ...]`,
 //   k shows log TEXT, k shows request PATH OUTCOME
 //   k lacks span NAME MS [KEY=VALUE ...]      it does not come for so long
 //
-// Peers: k and l are collectors, whose addresses are @k and @l in the operators' file; c... are clients; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
+// Peers: k and l are collectors, whose addresses are @k and @l in the operators' file; c... are clients, o... operators; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
 // those to host 2; d1, d2 those to discovery, e1 to the one that a reload names. A letter alone is whichever
 // of them it comes on.
 // clang-format on
