Hand the whole dispatcher over to a second process, live

Change: src/handover (decisions without I/O, frames with descriptors), save and adopt in each part (moving.cpp), the module's state by reflection (src/state: cereal, Boost.PFR), flights and clients' connections in headers of their own, calls that go on from the stage that they had.

--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -192,6 +192,11 @@
     double window(EndpointId id) const;
     bool avoids(EndpointId id) const;
 
+    // All that it knows, for a process that takes its place, and back into one with the same settings that
+    // has been told nothing yet. False: the bytes are not that, and this sender is of no use any more.
+    std::string save() const;
+    bool load(const std::string& bytes);
+
 private:
     class Choice;
     std::unique_ptr<Choice> choice_;
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -63,6 +63,17 @@
     return true;
 }
 
+bool Server::adopt(runtime::Descriptor listener) {
+    listener_ = runtime::Socket(scheduler_, std::move(listener), waker_);
+    if (listener_) keep_aside();
+    return static_cast<bool>(listener_);
+}
+
+runtime::Descriptor Server::release() {
+    return listener_ ? runtime::Descriptor(::fcntl(listener_.fd(), F_DUPFD_CLOEXEC, 0))
+                     : runtime::Descriptor();
+}
+
 void Server::keep_aside() {
     while (aside_.size() < kept_aside) {
         runtime::Descriptor fd(::fcntl(listener_.fd(), F_DUPFD_CLOEXEC, 0));
--- a/src/admin/server.hpp
+++ b/src/admin/server.hpp
@@ -31,6 +31,9 @@
 public:
     Server(runtime::Scheduler& scheduler, Calls calls);
     bool listen(runtime::Address address);
+    // A listener that another server had, and to give it up.
+    bool adopt(runtime::Descriptor listener);
+    runtime::Descriptor release();
     runtime::Task<void> run();
     std::size_t open() const { return callers_.size(); }
 
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -108,6 +108,19 @@
     return listed;
 }
 
+ClusterState Cluster::save() const {
+    ClusterState state{{}, last_id_, version_, heard_};
+    for (const auto& [uid, host] : hosts_) state.hosts.push_back({uid, host.state, host.gone_at});
+    return state;
+}
+
+void Cluster::adopt(const ClusterState& state) {
+    for (const auto& host : state.hosts) hosts_[host.uid] = {host.state, host.gone_at};
+    last_id_ = state.last_id;
+    version_ = state.version;
+    heard_ = state.heard;
+}
+
 std::size_t Cluster::listed() const {
     return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(),
                                                   [](const auto& host) { return !host.second.state.gone; }));
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -28,6 +28,18 @@
 // Nothing where the object cannot be read; lines that cannot be read are left out.
 std::optional<News> read_news(const config::Flat& flat, const config::Config& config);
 
+// What a cluster gives to its successor: hosts keep their numbers.
+struct KnownState {
+    std::string uid;
+    upstream::HostState state;
+    Time gone_at = 0;
+};
+struct ClusterState {
+    std::vector<KnownState> hosts;
+    std::uint32_t last_id = 0, version = 0;
+    bool heard = false;
+};
+
 class Cluster {
 public:
     // `forget_ms`: for how long a host that has gone is remembered; its last calls are over well before.
@@ -43,7 +55,9 @@
     // From now on discovery is there: the watch leaves its connection and goes on where it was.
     void move_to(runtime::Address discovery);
     std::size_t known() const { return hosts_.size(); }
-    std::size_t listed() const;            // hosts of discovery's list, those that drain included
+    std::size_t listed() const;  // hosts of discovery's list, those that drain included
+    ClusterState save() const;
+    void adopt(const ClusterState& state);
     bool heard() const { return heard_; }  // a list or changes, since the start
 
 private:
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -33,21 +33,13 @@
     on(known);
     // What discovery has said since comes before the first send: a host may have left in the meantime.
     for (auto& letter : mailbox_.take_all()) std::visit([this](auto& l) { on(l); }, letter);
-    for (const auto& seen : ledger_.seen()) {
-        const Time until = seen.wall - wall_offset_ + remembered_ms;
-        if (until > now_) remember(seen.name, seen.print, std::min(until, now_ + remembered_ms));
-    }
+    remember_ids();
     for (auto& [id, m] : ledger_.all()) {
         if (m.ending != Ending::none) {
             tell_client({m.id, m.name, m.ending, m.again_ms});
             continue;
         }
-        Submission as_handed_in;
-        as_handed_in.key = m.key;
-        as_handed_in.message_class = m.message_class;
-        as_handed_in.destination = m.destination;
-        as_handed_in.body = m.body;
-        remember(m.name, print_of(as_handed_in));
+        remember(m);
         Restored restored;
         restored.message.id = id;
         restored.message.message_class = m.message_class;
@@ -68,6 +60,22 @@
     perform();
 }
 
+void Dispatcher::remember_ids() {
+    for (const auto& seen : ledger_.seen()) {
+        const Time until = seen.wall - wall_offset_ + remembered_ms;
+        if (until > now_) remember(seen.name, seen.print, std::min(until, now_ + remembered_ms));
+    }
+}
+
+void Dispatcher::remember(const Owed& m) {
+    Submission as_handed_in;
+    as_handed_in.key = m.key;
+    as_handed_in.message_class = m.message_class;
+    as_handed_in.destination = m.destination;
+    as_handed_in.body = m.body;
+    remember(m.name, print_of(as_handed_in));
+}
+
 runtime::Task<void> Dispatcher::run() {
     const double tick = std::max(1.0, settings_.tick_ms);
     for (;;) {
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -21,6 +21,17 @@
 
 constexpr double full_pause_ms = 500;  // advice where the holding room or the store is full
 
+// What the core gives to its successor beside the store, which both share.
+struct CoreState {
+    double wall_offset = 0;
+    std::vector<std::pair<Time, std::uint32_t>> timers;
+    std::vector<Listing> hosts;
+    std::set<std::uint16_t> destinations;
+    bool list_heard = false;
+    std::uint64_t flying = 0;
+    std::string module;
+};
+
 class Dispatcher {
 public:
     Dispatcher(runtime::Scheduler& scheduler, const Settings& settings, std::uint64_t seed, Ledger& ledger,
@@ -36,8 +47,16 @@
     std::map<std::uint16_t, double> windows() const;
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
     void recover(const Listed& known);
+    // The same of a predecessor, whose calls are still out. False: the state is not one of this module's.
+    bool adopt(const CoreState& state);
+    // Once the ledger has read the store: goes on with what it holds.
+    void resume();
     runtime::Task<void> run();
 
+    // Works off what has come in. Whether nothing is left that waits for the store or for room under a cap.
+    bool settle();
+    CoreState save() const;
+
     runtime::Mailbox<Letter>& mailbox() { return mailbox_; }
     std::size_t flying() const { return flying_; }
     const Figures& figures() const { return figures_; }
@@ -56,6 +75,8 @@
     };
 
     void turn();
+    void remember_ids();
+    void remember(const Owed& message);
     void on(Submission& submission);
     void on(const Untold& untold);
     void on(const Verdict& verdict);
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -48,7 +48,7 @@
 
 Ledger::Ledger(store::Store& store, std::function<double()> wall) : store_(store), wall_(std::move(wall)) {}
 
-bool Ledger::recover(const store::Report& found) {
+bool Ledger::recover(const store::Report& found, bool adopted) {
     messages_ = owed_in(store_);
     const auto unreadable = [&](std::string_view key) {
         runtime::log("store", "a record of message %llu cannot be read",
@@ -75,8 +75,8 @@
     for (auto& [id, m] : messages_) {
         last_id_ = std::max(last_id_, id);
         // An attempt without an outcome was out when the process ended: it may have run.
-        m.cut = m.flying;
-        if (m.flying) note_risk(m);
+        m.cut = m.flying && !adopted;
+        if (m.cut) note_risk(m);
         if (m.ending != Ending::none) continue;
         names_.insert(m.name);
         ++held_;
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -20,7 +20,8 @@
 
     // Reads what the store holds, which is open; `found` is what its start said. What may have been changed
     // by damage counts as one that may have run, and is written so before anything else.
-    bool recover(const store::Report& found);
+    // `adopted`: the calls of the life before are still out, in this process's hands.
+    bool recover(const store::Report& found, bool adopted = false);
     // Carries a journal of a version before over, whole, once; before recover(). False: it cannot, and is
     // left.
     bool carry_over(store::Files& files);
@@ -37,7 +38,8 @@
     Owed* find(MessageId id);
     // Whether a message that a client handed in under that id is still owed its end.
     bool owes(const std::string& name) const { return names_.count(name) != 0; }
-    std::size_t held() const { return held_; }  // not ended
+    std::size_t held() const { return held_; }      // not ended
+    bool settled() const { return late_.empty(); }  // the store has all that has happened
     std::map<MessageId, Owed>& all() { return messages_; }
     MessageId next_id() const { return last_id_ + 1; }
     MessageId reserve_id() { return ++last_id_; }
--- /dev/null
+++ b/src/dispatch/moving.cpp
@@ -0,0 +1,49 @@
+// What the core gives to its successor, and how that goes on. Messages are in the store, which both share;
+// the module goes on as it was, so nothing is told to it anew.
+#include "dispatch/dispatcher.hpp"
+
+namespace brasslift::dispatch {
+
+bool Dispatcher::settle() {
+    if (!mailbox_.empty()) turn();
+    return waiting_.empty() && parked_.empty() && open_calls_.empty() && candidates_.empty() &&
+           mailbox_.empty() && ledger_.settled();
+}
+
+CoreState Dispatcher::save() const {
+    CoreState state;
+    state.wall_offset = wall_offset_;
+    state.timers.assign(timers_.begin(), timers_.end());
+    for (const auto& [address, line] : hosts_) state.hosts.push_back(line);
+    state.destinations = destinations_;
+    state.list_heard = list_heard_;
+    state.flying = flying_;
+    state.module = sender_.save();
+    return state;
+}
+
+bool Dispatcher::adopt(const CoreState& state) {
+    now_ = scheduler_.now();
+    wall_offset_ = state.wall_offset;
+    timers_.insert(state.timers.begin(), state.timers.end());
+    for (const auto& line : state.hosts) hosts_[line.endpoint.address] = line;
+    destinations_ = state.destinations;
+    list_heard_ = state.list_heard;
+    flying_ = state.flying;
+    return sender_.load(state.module);
+}
+
+void Dispatcher::resume() {
+    now_ = scheduler_.now();
+    remember_ids();
+    for (const auto& [id, m] : ledger_.all()) {
+        if (m.ending != Ending::none) {
+            tell_client({m.id, m.name, m.ending, m.again_ms});
+            continue;
+        }
+        remember(m);
+        if (observer_ != nullptr) observer_->restored(now_, m);
+    }
+}
+
+}  // namespace brasslift::dispatch
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 
+#include "downstream/connection.hpp"
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
 
@@ -120,27 +121,6 @@
     return s;
 }
 
-class Server::Connection : public dispatch::Client {
-public:
-    Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd, http::Limits limits)
-        : waker(scheduler),
-          mailbox(waker),
-          socket(scheduler, std::move(fd), waker),
-          parser(http::Parser::Side::request, limits) {}
-    // Whoever has ended its sending before it was answered may hand the message in elsewhere at once.
-    bool present() const override { return socket && !socket.news_of_end(); }
-    void answer(const dispatch::Answer& answer) override { mailbox.put(answer); }
-
-    runtime::Waker waker;
-    runtime::Mailbox<dispatch::Answer> mailbox;
-    runtime::Socket socket;
-    http::Parser parser;
-    std::string unread;    // bytes behind the present request
-    Time since = 0;        // idle, or when its request began
-    std::size_t held = 0;  // bytes of its request, as the server counts them
-    bool busy = false, served = false, evicted = false;
-};
-
 Server::Server(runtime::Scheduler& scheduler, const config::Config& config, Limits limits,
                const lifecycle::Lifecycle& lifecycle)
     : scheduler_(scheduler), config_(config), limits_(limits), lifecycle_(lifecycle), waker_(scheduler) {}
@@ -159,6 +139,10 @@
 runtime::Task<void> Server::run() {
     int accepted = 0;
     while (listener_) {
+        if (paused_) {
+            co_await waker_.wait();
+            continue;
+        }
         runtime::Descriptor fd;
         switch (runtime::accept_from(listener_, fd)) {
             case runtime::Accepted::one:
@@ -192,6 +176,10 @@
     }
     if (static_cast<double>(open_) > crowded_share * static_cast<double>(limits_.connections)) drop_spare();
     connection->since = scheduler_.now();
+    keep(std::move(connection));
+}
+
+void Server::keep(std::shared_ptr<Connection> connection) {
     ++open_;
     connections_.push_back(connection);
     scheduler_.spawn(serve(std::move(connection)));
@@ -320,6 +308,7 @@
         // Requests that wait one behind the other leave the others their turns.
         if (!c.unread.empty()) co_await c.waker.wait(scheduler_.now());
     }
+    c.closing = true;
     if (!c.evicted && c.parser.fault() != http::Fault::none)
         close = co_await write_all(c, reply(http::status_of(c.parser.fault()), true));
     hold(c, 0);
@@ -368,7 +357,7 @@
 runtime::Task<bool> Server::read_request(Connection& c) {
     bool invited = false;
     // Some connect ahead of their first request: a silent one stays as long as may be.
-    Time until = c.since + (c.served ? kept_ms : silent_ms);
+    Time until = c.since + (c.parser.started() ? limits_.request_ms : c.served ? kept_ms : silent_ms);
     const auto feed = [&](std::string_view bytes) {
         const bool before = c.parser.started();
         const auto used = c.parser.feed(bytes);
@@ -378,6 +367,7 @@
         }
         return bytes.substr(used);
     };
+    while (paused_ && !c.evicted) co_await c.waker.wait();
     if (!c.unread.empty()) c.unread = std::string(feed(std::exchange(c.unread, {})));
     for (;;) {
         if (c.parser.complete()) {
@@ -395,6 +385,10 @@
             invited = true;
             c.socket.write("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        if (paused_ && !c.evicted) {
+            co_await c.waker.wait();
+            continue;
+        }
         const auto got = c.socket.read(scratch_.data(), scratch_.size());
         if (got.io == runtime::Io::done) {
             c.unread = feed({scratch_.data(), got.count});
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -13,6 +13,7 @@
 #include "lifecycle/lifecycle.hpp"
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
+#include "state/luggage.hpp"
 
 namespace brasslift::downstream {
 
@@ -21,6 +22,18 @@
 // `traced`: with the trace that its client began.
 Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced = false);
 
+// What a server gives to its successor. Descriptors are places in the luggage.
+struct ClientNote {
+    int fd = -1;
+    Time since = 0;
+    bool served = false;
+    std::string unread, parser;
+};
+struct ServerState {
+    int listener = -1;
+    std::vector<ClientNote> clients;
+};
+
 class Server {
 public:
     struct Limits {
@@ -47,6 +60,14 @@
     // Closes connections as they fall idle for as long as the lifecycle says that clients are sent away.
     void drain();
     void stop_listening();
+    // Nothing more is read or accepted until it goes on; what has been read whole is answered.
+    void pause();
+    void go_on();
+    bool quiet() const;  // no request is being answered
+    // For a successor, while it pauses. Clients beyond `most` descriptors stay here, the spare ones first.
+    ServerState save(state::Luggage& luggage, std::size_t most) const;
+    // Of a predecessor, in place of listen(). False: there is no listener in it.
+    bool adopt(const ServerState& state, state::Luggage& luggage);
     void close_idle();
     std::size_t open() const { return open_; }
 
@@ -61,6 +82,7 @@
     runtime::Task<bool> write_all(Connection& c, std::string text);
     runtime::Task<void> linger(Connection& c);
     void take(runtime::Descriptor fd);
+    void keep(std::shared_ptr<Connection> connection);
     int rank_of(const Connection& c) const;
     bool make_room();
     void evict(Connection& c);
@@ -81,7 +103,7 @@
     std::function<void(std::size_t)> turned_away_;
     std::size_t open_ = 0, held_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
-    bool traced_ = false, closing_drained_ = false;
+    bool traced_ = false, closing_drained_ = false, paused_ = false;
 };
 
 }  // namespace brasslift::downstream
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -26,6 +26,10 @@
     bool has_token(std::string_view name, std::string_view token) const;
     void clear() { lines_.clear(); }
     std::size_t size() const { return lines_.size(); }
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(lines_);
+    }
 
 private:
     std::vector<std::pair<std::string, std::string>> lines_;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -31,6 +31,12 @@
     const Message& message() const { return message_; }
     Message take();  // of a complete message; the parser is ready for the next
 
+    // Where it stands in a message; side and limits are the new owner's.
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(phase_, fault_, message_, line_, head_size_, interim_, left_);
+    }
+
 private:
     enum class Phase {
         start,
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
+#include <optional>
 #include <string>
 
 #include "cluster/cluster.hpp"
@@ -16,8 +17,12 @@
 using namespace brasslift;
 
 int serve(const std::string& operators) {
-    serve::Life life(operators, BRASSLIFT_VERSION);
-    life.run();
+    std::optional<serve::Remains> remains;
+    {
+        serve::Life life(operators, BRASSLIFT_VERSION);
+        remains = life.run();
+    }
+    if (remains) serve::keep_shell(std::move(*remains));
     return 0;
 }
 
--- a/src/runtime/scheduler.hpp
+++ b/src/runtime/scheduler.hpp
@@ -65,7 +65,9 @@
 
     void run();  // until stop()
     void stop() { stopped_ = true; }
-    void drop_tasks();  // while what they refer to is still there
+    void go_on() { stopped_ = false; }  // after stop(): run() may be called again
+    void settle() { run_ready(); }      // all that needs neither descriptors nor the clock
+    void drop_tasks();                  // while what they refer to is still there
     void run_until(Time at);
 
     // Descriptors are told of by number, so that an event for a closed one finds nobody.
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -96,10 +96,14 @@
                               return drains;
                           },
                           [this] { return lifecycle_.undrain(); }, [this] { return figures(); }}),
-      watch_({scheduler_, config_, dispatcher_, ledger_, store_, server_, pool_}, version) {
+      watch_({scheduler_, config_, dispatcher_, ledger_, store_, server_, pool_}, version),
+      heir_waker_(scheduler_) {
     connect_parts();
     open_admin();
-    recover();
+    store::Report report;
+    stopped_ = !come_into_store(report);
+    if (stopped_) return;
+    recover(report);
     begin();
 }
 
@@ -122,22 +126,33 @@
 }
 
 // What outlasted the last process. What could not be read is told here.
-void Life::recover() {
-    store::Report report;
-    const auto now = static_cast<store::Stamp>(runtime::wall_now());
-    if (const auto fault = store_.open(now, report); fault != store::Fault::none)
-        throw std::runtime_error("the store cannot be opened: " + store_.why());
+void Life::recover(const store::Report& report) {
     for (const auto& finding : report.findings)
         runtime::log("store", "%s: %s (%llu bytes)",
                      finding.number == 0 ? "store" : store::segment_name(finding.number).c_str(),
                      finding.why.c_str(), static_cast<unsigned long long>(finding.bytes));
     if (!ledger_.carry_over(*files_))
         throw std::runtime_error("the journal cannot be carried over: " + store_.why());
-    if (!ledger_.recover(report)) throw std::runtime_error("the store takes no records: " + store_.why());
+    if (!ledger_.recover(report, taken_ != nullptr))
+        throw std::runtime_error("the store takes no records: " + store_.why());
 }
 
 void Life::begin() {
     watch_.follow(plan_ ? &plan_->rules() : nullptr);
+    if (store_.options().durability != store::Durability::none) dispatcher_.sync_by(&syncs_);
+    const bool resumes = taken_ != nullptr;
+    resumes ? resume() : start_anew();
+    scheduler_.spawn(keeper_.run());
+    scheduler_.spawn(dispatcher_.run());
+    scheduler_.spawn(notices_.run());
+    scheduler_.spawn(server_.run());
+    scheduler_.spawn(until_stopped());
+    await_successor();
+    runtime::log("main", "%s serves %s; %zu messages were %s", config_.name.c_str(), config_.listen.c_str(),
+                 ledger_.held(), resumes ? "handed over" : "owed");
+}
+
+void Life::start_anew() {
     if (!server_.listen(listen_)) throw std::runtime_error("cannot listen on " + config_.listen);
     const auto known = cluster::read_news(config_.known, config_);
     auto first = known ? cluster_.apply(*known) : dispatch::Listed{};
@@ -148,21 +163,24 @@
          !cluster_.heard() && runtime::steady_now() < until;)
         scheduler_.run_until(runtime::steady_now() + 2);
     if (plan_) dispatcher_.plan_by(plan_);
-    if (store_.options().durability != store::Durability::none) dispatcher_.sync_by(&syncs_);
     dispatcher_.recover(first);
-    scheduler_.spawn(keeper_.run());
-    scheduler_.spawn(dispatcher_.run());
-    scheduler_.spawn(notices_.run());
     lifecycle_.begin();  // all that is owed is known; connections that came meanwhile wait in the queue
-    scheduler_.spawn(server_.run());
-    scheduler_.spawn(until_stopped());
-    runtime::log("main", "%s serves %s; %zu messages were owed", config_.name.c_str(), config_.listen.c_str(),
-                 ledger_.held());
 }
 
-void Life::run() {
-    scheduler_.run();
+std::optional<Remains> Life::run() {
+    if (stopped_) return std::nullopt;
+    for (bool given = false; !given;) {
+        scheduler_.run();
+        if (!heir_) {
+            scheduler_.drop_tasks();
+            return std::nullopt;
+        }
+        given = give();
+        if (!given) scheduler_.go_on();
+    }
+    Remains remains{admin_.release(), figures()};
     scheduler_.drop_tasks();
+    return remains;
 }
 
 std::string Life::figures() const {
--- a/src/serve/life.hpp
+++ b/src/serve/life.hpp
@@ -14,9 +14,12 @@
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/ledger.hpp"
 #include "downstream/server.hpp"
+#include "handover/decide.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "runtime/scheduler.hpp"
+#include "serve/shell.hpp"
 #include "serve/signals.hpp"
+#include "state/luggage.hpp"
 #include "store/keeper.hpp"
 #include "store/store.hpp"
 #include "upstream/pool.hpp"
@@ -35,18 +38,34 @@
     store::Keeper& keeper_;
 };
 
+// What one process gives to the next, beside the store.
+struct LifeState {
+    bool drains = false;
+    cluster::ClusterState cluster;
+    dispatch::CoreState core;
+    upstream::PoolState pool;
+    downstream::ServerState server;
+};
+
 class Life {
 public:
     // `operators`: the operators' file; empty: none. Throws where the dispatcher cannot start.
     Life(std::string operators, const std::string& version);
-    // Until a signal ends it.
-    void run();
+    // Until a signal ends it, or another process has taken over: then it leaves its remains.
+    std::optional<Remains> run();
 
 private:
     void connect_parts();
     void open_admin();
-    void recover();
+    void recover(const store::Report& report);
     void begin();
+    void start_anew();
+    void resume();
+    handover::Asked ask();
+    bool come_into_store(store::Report& report);
+    void await_successor();
+    runtime::Task<void> hear_successors();
+    bool give();
     void reload();
     runtime::Task<void> until_stopped();
     std::string figures() const;
@@ -71,6 +90,15 @@
     downstream::Server server_;
     admin::Server admin_;
     commands::Watch watch_;
+    runtime::Waker heir_waker_;
+    runtime::Socket heir_listener_;
+    runtime::Descriptor heir_;  // a process that asks to take over
+    struct Taken {
+        LifeState state;
+        state::Luggage luggage;
+    };
+    std::unique_ptr<Taken> taken_;  // what the process before gave, until it goes on here
+    bool stopped_ = false;          // before it began
     std::uint64_t configs_taken_ = 0, configs_refused_ = 0;
 };
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -5,6 +5,7 @@
 
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
+#include "upstream/flight.hpp"
 
 namespace brasslift::upstream {
 namespace {
@@ -18,50 +19,9 @@
 // An answer that has begun ends within so long or is spoilt; for the rest of one whose first line has told
 // all there is less: the host counts the call as out until its answer is written or its connection ends.
 constexpr double answer_ms = 1000, rest_ms = 250;
-constexpr http::Limits answer_limits{16 * 1024, 64 * 1024};
 
 }  // namespace
 
-// One call under way: what has become of it so far, and of each of its messages.
-struct Pool::Flight {
-    Flight(runtime::Scheduler& scheduler, dispatch::Call c)
-        : call(std::move(c)),
-          landed(call.parcels.size(), false),
-          waker(scheduler),
-          parser(http::Parser::Side::response, answer_limits) {}
-    dispatch::Call call;
-    std::vector<bool> landed;
-    runtime::Waker waker;
-    runtime::Socket socket;
-    http::Parser parser;
-    Ended ended;
-    Time expires = 0, start_by = 0;
-    runtime::Address address;
-    const std::string& pool() const {
-        static const std::string own;
-        return call.pool ? call.pool->name : own;
-    }
-    bool capped() const { return call.pool && call.pool->connections_per_host; }
-    bool bulk() const { return call.parcels.size() > 1; }
-    bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
-    bool surplus = false;         // more came than belongs to the answer
-    Time begun = runtime::never;  // since when its answer has been coming
-    // Bytes of the answer; what follows it shows that the connection may serve no other call.
-    void feed(std::string_view bytes, Time now) {
-        surplus = parser.feed(bytes) < bytes.size() || surplus;
-        if (!parser.started())
-            begun = runtime::never;  // an interim answer was all
-        else
-            begun = std::min(begun, now);
-    }
-    bool unreadable() const { return parser.fault() != http::Fault::none; }
-    // Whether its connection can carry another call.
-    bool reusable() const {
-        return socket && parser.complete() && !surplus && parser.message().keeps_alive() &&
-               !socket.readable();
-    }
-};
-
 std::string Pool::request_of(const Flight& flight) const {
     if (flight.bulk()) {
         std::string body;
@@ -209,15 +169,21 @@
 }
 
 runtime::Task<void> Pool::carry(HostPtr own, dispatch::Call call) {
-    auto& host = *own;
     Flight flight(scheduler_, std::move(call));
     flight.start_by = runtime::never;
-    flight.address = host.state.address;
+    flight.address = own->state.address;
     for (const auto& parcel : flight.call.parcels) {
         flight.expires = std::max(flight.expires, parcel.expires);
         if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
     }
+    co_await see_through(*own, flight);
+}
+
+runtime::Task<void> Pool::see_through(Host& host, Flight& flight) {
+    flights_.insert(&flight);
+    const Listed listed{flights_, &flight};
     co_await exchange(host, flight);
+    flight.stage = Flight::Stage::told;
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
     if (!answered || flight.ended.cause != Cause::none) flight.socket.close();
@@ -228,40 +194,60 @@
     if (flight.reusable()) give_back(host, flight);
 }
 
-runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
+// False: there is no connection that the call may go over.
+runtime::Task<bool> Pool::connect(Host& host, Flight& flight) {
     auto& ended = flight.ended;
-    flight.socket = take_idle(host, flight.pool());
-    if (flight.socket) {
-        flight.socket.rebind(flight.waker);
-    } else {
+    if (flight.stage == Flight::Stage::begun) {
+        flight.socket = take_idle(host, flight.pool());
+        if (flight.socket) {
+            flight.socket.rebind(flight.waker);
+            co_return true;
+        }
         bool starved = false;
         auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker, &starved);
         // Out of descriptors is this side's trouble: the host is not judged by it.
         ended.cause = starved ? Cause::not_allowed : Cause::broken;
         if (starved) shed_idle();
-        if (!socket) co_return;
+        if (!socket) co_return false;
         flight.socket = std::move(*socket);
         // Past start_by its first byte may not go: a message whose time ends then is told so at once.
         const double dial_ms = flight.call.pool
                                    ? std::min(settings_.dial_timeout_ms,
                                               flight.call.pool->dial_timeout_ms.value_or(runtime::never))
                                    : settings_.dial_timeout_ms;
-        const Time until = std::min({scheduler_.now() + dial_ms, flight.expires, flight.start_by});
-        const auto state = co_await runtime::come_up(scheduler_, flight.socket, flight.waker, until);
-        if (state == runtime::Io::blocked) ended.cause = Cause::timed_out;
-        if (state != runtime::Io::done) co_return;
+        flight.dial_until = std::min({scheduler_.now() + dial_ms, flight.expires, flight.start_by});
+        flight.stage = Flight::Stage::connecting;
     }
-    ended.progress = Progress::connected;
-    // The call may have waited for its connection while the list, a told wait or its window moved on.
-    const Time now = scheduler_.now();
-    ended.cause = Cause::not_allowed;
-    if (host.state.gone || now > host.left_at + grace_share * settings_.drain_grace_ms ||
-        now < wait_of(host) || now > flight.start_by || now >= flight.expires)
-        co_return;
-    const std::string text = request_of(flight);
+    ended.cause = Cause::broken;
+    const auto state = co_await runtime::come_up(scheduler_, flight.socket, flight.waker, flight.dial_until);
+    if (state == runtime::Io::blocked) ended.cause = Cause::timed_out;
+    co_return state == runtime::Io::done;
+}
+
+// From where the call stands: one that a predecessor began goes on.
+runtime::Task<void> Pool::exchange(Host& host, Flight& flight) {
+    auto& ended = flight.ended;
+    if (flight.stage < Flight::Stage::writing) {
+        const bool connected = co_await connect(host, flight);
+        if (!connected) co_return;
+        ended.progress = Progress::connected;
+        // The call may have waited for its connection while the list, a told wait or its window moved on.
+        const Time now = scheduler_.now();
+        ended.cause = Cause::not_allowed;
+        if (host.state.gone || now > host.left_at + grace_share * settings_.drain_grace_ms ||
+            now < wait_of(host) || now > flight.start_by || now >= flight.expires)
+            co_return;
+        flight.rest = request_of(flight);
+        flight.stage = Flight::Stage::writing;
+        ended.cause = Cause::none;
+    }
+    if (flight.stage == Flight::Stage::writing) {
+        const bool written = co_await write_rest(flight);
+        if (!written) co_return;
+        flight.stage = Flight::Stage::reading;
+    }
+    ended.progress = Progress::fully_written;
     ended.cause = Cause::none;
-    const bool written = co_await write_all(flight, text);
-    if (!written) co_return;
     char part[4096];
     while (!flight.told()) {
         const auto got = flight.socket.read(part, sizeof part);
@@ -294,13 +280,12 @@
     ended.status = flight.parser.message().status;
 }
 
-runtime::Task<bool> Pool::write_all(Flight& flight, const std::string& text) {
-    std::string_view rest = text;
-    while (!rest.empty()) {
-        const auto put = flight.socket.write(rest);
+runtime::Task<bool> Pool::write_rest(Flight& flight) {
+    while (!flight.rest.empty()) {
+        const auto put = flight.socket.write(flight.rest);
         if (put.io == runtime::Io::done) {
-            rest.remove_prefix(put.count);
-            flight.ended.progress = rest.empty() ? Progress::fully_written : Progress::partly_written;
+            flight.rest.erase(0, put.count);
+            flight.ended.progress = flight.rest.empty() ? Progress::fully_written : Progress::partly_written;
             continue;
         }
         flight.ended.cause = put.io == runtime::Io::blocked && scheduler_.now() >= flight.expires
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -5,12 +5,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <variant>
 
 #include "dispatch/types.hpp"
 #include "http/parser.hpp"
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
+#include "state/luggage.hpp"
 #include "upstream/outcome.hpp"
 
 namespace brasslift::upstream {
@@ -31,6 +33,42 @@
     std::size_t most_idle = 200;
 };
 
+// What a pool gives to its successor. Descriptors are places in the luggage.
+struct ParcelState {
+    MessageId id = 0;
+    std::string name, key, body;  // the body only where the call is still to be written
+    int attempt = 0;
+    Time due = 0, expires = 0, start_by = 0;
+    dispatch::Trace trace;
+    bool landed = false;
+};
+struct FlightState {
+    EndpointId host;
+    Time decided = 0;
+    std::vector<ParcelState> parcels;
+    std::uint8_t stage = 0;
+    std::string rest, parser;  // what is still to be written; where its answer stands
+    Time expires = 0, start_by = 0, dial_until = 0, begun = 0;
+    runtime::Address address;
+    bool surplus = false;
+    int fd = -1;
+};
+struct HostNote {
+    HostState state;
+    Time left_at = 0, wait_until = 0;
+};
+struct IdleState {
+    EndpointId host;
+    Time since = 0, until = 0;
+    int fd = -1;
+};
+struct PoolState {
+    std::vector<HostNote> hosts;
+    std::map<std::uint16_t, Time> waits;
+    std::vector<FlightState> flights;
+    std::vector<IdleState> idle;
+};
+
 class Pool : public dispatch::Upstream {
 public:
     using Report = std::function<void(dispatch::Verdict)>;
@@ -49,6 +87,11 @@
     }  // messages, each time that the last byte of its call left
     void keep_at_most(std::size_t idle) { settings_.most_idle = idle; }
 
+    // For a successor, between two turns of the loop: nothing waits in a mailbox. `most`: descriptors.
+    PoolState save(state::Luggage& luggage, std::size_t most) const;
+    // Of a predecessor, before anything else is known: its calls go on.
+    void adopt(const PoolState& state, state::Luggage& luggage);
+
 private:
     struct Idle {
         runtime::Socket socket;
@@ -69,13 +112,17 @@
         std::deque<Idle> idle;          // the latest used last
     };
     struct Flight;
+    struct Listed;
     using HostPtr = std::shared_ptr<Host>;  // its actor and each of its calls hold it
 
     std::string request_of(const Flight& flight) const;
     runtime::Task<void> run(HostPtr host);
     runtime::Task<void> carry(HostPtr host, dispatch::Call call);
+    runtime::Task<void> go_on(HostPtr host, std::shared_ptr<Flight> flight, bool whole);
+    runtime::Task<void> see_through(Host& host, Flight& flight);
+    runtime::Task<bool> connect(Host& host, Flight& flight);
     runtime::Task<void> exchange(Host& host, Flight& flight);
-    runtime::Task<bool> write_all(Flight& flight, const std::string& text);
+    runtime::Task<bool> write_rest(Flight& flight);
     runtime::Task<void> read_answer(Flight& flight);
     void heed(Host& host, const Fate& fate);
     Time& wait_of(Host& host);
@@ -94,6 +141,7 @@
     PoolSettings settings_;
     Report report_;
     std::map<EndpointId, HostPtr> hosts_;
+    std::set<Flight*> flights_;            // under way
     std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
     std::uint64_t written_ = 0;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -22,8 +22,12 @@
 #include <thread>
 #include <vector>
 
+#include "config/config.hpp"
+#include "handover/channel.hpp"
+#include "handover/meaning.hpp"
 #include "runtime/descriptor.hpp"
 #include "site.hpp"
+#include "state/archive.hpp"
 
 namespace brasslift::test {
 namespace {
@@ -90,12 +94,14 @@
         folder_ = (fs::temp_directory_path() / "brasslift-test-XXXXXX").string();
         if (::mkdtemp(folder_.data()) == nullptr) throw Fault("no folder for the test");
         fs::create_directory(folder_ + "/state");
-        Listener own, operators;  // free ports for the program itself
+        Listener own;  // a free port for the program itself
         port_ = own.port;
-        admin_port_ = operators.port;
     }
     ~Stage() {
-        if (child_ > 0) signal_child(SIGKILL), reap();
+        if (burst_.joinable()) burst_.join();
+        if (ancestor_.joinable()) ancestor_.join();
+        for (auto* const child : {&child_, &former_})
+            if (*child > 0) ::kill(*child, SIGKILL), reap(*child);
         std::error_code error;
         fs::remove_all(folder_, error);
     }
@@ -115,8 +121,17 @@
             in >> ms;
             return std::this_thread::sleep_for(std::chrono::milliseconds(ms)), void();
         }
-        if (who == "kill") return signal_child(SIGKILL), reap(), void();
-        if (who == "term") return signal_child(SIGTERM);
+        if (who == "kill" || who == "term" || who == "stop") {
+            in >> what;
+            auto& child = what == "former" ? former_ : child_;
+            ::kill(child, who == "kill" ? SIGKILL : who == "term" ? SIGTERM : SIGSTOP);
+            if (who == "kill") reap(child);
+            return;
+        }
+        if (who == "replace") return in >> what, replace(what);
+        if (who == "heir") return in >> what, heir(what);
+        if (who == "ancestor") return in >> what, ancestor(what);
+        if (who == "burst") return in >> what, burst(what, in);
         if (who == "tear") {  // as a kill in mid-write leaves it: a record's head and not all of its bytes
             for (const auto& file : fs::directory_iterator(folder_ + "/state"))
                 std::ofstream(file.path(), std::ios::app | std::ios::binary)
@@ -141,10 +156,11 @@
             if (what == "bad") std::ofstream(folder_ + "/config.json") << "{\"settings\":";
             return signal_child(SIGHUP);
         }
-        if (who == "exits") {
+        if (who == "exits" || who == "former") {
             int code = 0;
+            if (who == "former") in >> what;
             in >> code;
-            const int status = reap();
+            const int status = reap(who == "former" ? former_ : child_);
             if (!WIFEXITED(status) || WEXITSTATUS(status) != code)
                 throw Fault("ended with status " + std::to_string(status));
             return;
@@ -359,7 +375,7 @@
         return name == 'h' ? host1_ : name == 'g' ? host2_ : name == 'e' ? moved_ : discovery_;
     }
 
-    static bool calls_in(const std::string& who) { return who[0] == 'c' || who[0] == 'o'; }
+    static bool calls_in(const std::string& who) { return who[0] == 'c' || who[0] == 'o' || who[0] == 'q'; }
 
     Peer& peer(const std::string& who) {
         if (!calls_in(who)) {
@@ -371,15 +387,16 @@
         auto& p = peers_[who];
         if (!p.fd && !p.ended) {
             p.fd = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-            const auto at = loopback(who[0] == 'o' ? admin_port_ : port_);
+            const auto at = loopback(who[0] == 'o' ? admin_port_ : who[0] == 'q' ? former_admin_ : port_);
             if (::connect(p.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
                 throw Fault("cannot connect");
         }
         return p;
     }
 
-    void write_config(const std::string& discovery = "") const {
+    void write_config(const std::string& discovery = "", int workers = 8) const {
         Site site;
+        site.workers = workers;
         site.discovery = discovery;
         site.hosts = {{"s-1", host1_.address(), 1},
                       {"s-2", host2_.address(), 2},
@@ -388,15 +405,116 @@
         std::ofstream(folder_ + "/config.json") << site_config(site);
     }
 
+    void replace(const std::string& extra) {
+        former_ = child_;
+        former_admin_ = admin_port_;
+        launch(0, 0, extra == "other" ? 9 : 8);
+        if (extra.empty() && !says_yes(6000)) throw Fault("the second process does not say yes");
+    }
+
+    // Whether the process answers its operators that it is ready, in time.
+    bool says_yes(int ms) {
+        for (const auto until = after(ms); Clock::now() < until;
+             std::this_thread::sleep_for(std::chrono::milliseconds(5))) {
+            Peer operators;
+            operators.fd = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+            const auto at = loopback(admin_port_);
+            if (::connect(operators.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
+                continue;
+            send(operators, "GET /ready HTTP/1.1\r\n\r\n");
+            for (const auto end = after(1000); !operators.ended && Clock::now() < end;) hear(operators, 100);
+            if (operators.seen.find(" 200 ") != std::string::npos) return true;
+        }
+        return false;
+    }
+
+    std::string handover_path() const {
+        ::setenv("TMPDIR", folder_.c_str(), 1);
+        auto path = handover::socket_path(folder_ + "/state");
+        ::unsetenv("TMPDIR");
+        return path;
+    }
+
+    void heir(const std::string& step) {
+        const double until = runtime::steady_now() + 2000;
+        if (step == "asks") {
+            auto config = config::read_config(config::read_file(folder_ + "/config.json"));
+            config.listen = "127.0.0.1:" + std::to_string(port_);
+            heir_ = handover::call_at(handover_path());
+            if (!heir_ || !handover::send_frame(heir_.get(), handover::Kind::hello,
+                                                state::pack(handover::hello_of(config)), {}, until))
+                throw Fault("nobody to ask");
+        } else if (step == "takes") {
+            const auto frame = handover::receive_frame(heir_.get(), until);
+            if (!frame || frame->kind != handover::Kind::state) throw Fault("nothing was given");
+        } else if (step == "ready") {
+            handover::send_frame(heir_.get(), handover::Kind::ready, "", {}, until);
+        } else {
+            heir_.reset();
+        }
+    }
+
+    void ancestor(const std::string& mode) {
+        auto listener = std::make_shared<Descriptor>(handover::listen_at(handover_path()));
+        if (!*listener) throw Fault("the ancestor cannot listen");
+        ancestor_ = std::thread([listener, mode] {
+            pollfd state{listener->get(), POLLIN, 0};
+            if (::poll(&state, 1, 5000) != 1) return;
+            const Descriptor asks(::accept4(listener->get(), nullptr, nullptr, SOCK_CLOEXEC));
+            const double until = runtime::steady_now() + 2000;
+            handover::receive_frame(asks.get(), until);
+            if (mode == "silent") std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+            if (mode == "babbles")
+                handover::send_frame(asks.get(), handover::Kind::state, std::string(5000, 'x'), {}, until);
+            if (mode == "cuts") ::send(asks.get(), "HLRB\2\0\0\0\0\0\0\0", 12, MSG_NOSIGNAL);
+        });
+    }
+
+    void burst(const std::string& what, std::istream& in) {
+        if (what == "ends") {
+            burst_.join();
+            if (!burst_faults_.empty()) throw Fault("turned back unheard: " + burst_faults_);
+            return;
+        }
+        int dest = 0;
+        in >> dest;
+        burst_ = std::thread([this, count = std::stoi(what), dest] {
+            for (int i = 0; i < count; ++i, std::this_thread::sleep_for(std::chrono::milliseconds(4))) {
+                Peer p;
+                p.fd = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+                const auto at = loopback(port_);
+                if (::connect(p.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+                    burst_faults_ += " refused";
+                    continue;
+                }
+                post(p, "safe b" + std::to_string(i) + " 9000m " + std::to_string(dest));
+                for (const auto until = after(patience_ms);
+                     p.seen.find("\r\n\r\n") == std::string::npos && !p.ended && Clock::now() < until;)
+                    hear(p, 50);
+                if (p.seen.find("HTTP/1.1 ") != 0) burst_faults_ += " [" + p.seen + "]";
+            }
+        });
+    }
+
     void start(rlim_t file_limit, rlim_t files) {
-        write_config();
+        launch(file_limit, files, 8);
+        await_listener();
+    }
+
+    void launch(rlim_t file_limit, rlim_t files, int workers) {
+        write_config("", workers);
+        {
+            Listener operators;  // a second address, new for each process
+            admin_port_ = operators.port;
+        }
         const std::map<std::string, std::string> told{
             {"PROXY_NAME", "n1"},
             {"PROXY_ADMIN", "127.0.0.1:" + std::to_string(admin_port_)},
             {"PROXY_LISTEN", "127.0.0.1:" + std::to_string(port_)},
             {"PROXY_DISCOVERY", discovery_.address()},
             {"PROXY_STATE", folder_ + "/state"},
-            {"PROXY_CONFIG", folder_ + "/config.json"}};
+            {"PROXY_CONFIG", folder_ + "/config.json"},
+            {"TMPDIR", folder_}};
         child_ = ::fork();
         if (child_ == 0) {
             for (const auto& [name, value] : told) ::setenv(name.c_str(), value.c_str(), 1);
@@ -414,6 +532,9 @@
             ::execl(BRASSLIFT_PROGRAM, BRASSLIFT_PROGRAM, nullptr);
             ::_exit(127);
         }
+    }
+
+    void await_listener() {
         const auto at = loopback(port_);
         for (const auto until = after(10000); Clock::now() < until;
              std::this_thread::sleep_for(std::chrono::milliseconds(10))) {
@@ -428,21 +549,24 @@
     }
 
     void signal_child(int number) const { ::kill(child_, number); }
-    int reap() {
+    static int reap(pid_t& child) {
         int status = 0;
-        ::waitpid(child_, &status, 0);
-        child_ = 0;
+        ::waitpid(child, &status, 0);
+        child = 0;
         return status;
     }
 
     std::string folder_;
     double disk_mb_ = 3;
-    std::uint16_t port_ = 0, admin_port_ = 0;
+    std::uint16_t port_ = 0, admin_port_ = 0, former_admin_ = 0;
+    Descriptor heir_;
+    std::thread ancestor_, burst_;
+    std::string burst_faults_;
     Listener discovery_, moved_, host1_, host2_;
     std::map<std::string, Peer> peers_;
     std::map<char, int> counts_;
     std::map<char, Peer*> matched_;  // the connection that the latest expect of a letter was met on
-    pid_t child_ = 0;
+    pid_t child_ = 0, former_ = 0;
     bool operators_ = false;
     std::unique_ptr<standins::Collector> collector_, other_collector_;
 };
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -8,6 +8,12 @@
 //   tear                        leaves half a record at the journal's end
 //   folder-below BYTES
 //   reload PEER | reload bad    the config names that peer as discovery, or cannot be read; SIGHUP
+//   replace [EXTRA]             a second process starts beside the first, which is the former from then on, and
+//                               has said yes within 6 s; EXTRA: beside waits for nothing, other has other settings
+//   kill former | term former | stop former | former exits CODE
+//   heir asks | takes | ready | leaves         a successor of the test's own, up to the step that it dies at
+//   ancestor MODE               one that the next start asks: silent, leaves, babbles or cuts its state short
+//   burst N DEST | burst ends   N messages, each on a connection of its own, 4 ms apart; all were taken on
 //   wait MS
 //   PEER send TEXT              \r, \n, \xHH as in C, @h host 1's address; a client connects with its first line
 //   PEER expect TEXT            it comes within 2 s; what came before it is dropped
@@ -22,7 +28,7 @@
 //   k shows log TEXT, k shows request PATH OUTCOME
 //   k lacks span NAME MS [KEY=VALUE ...]      it does not come for so long
 //
-// Peers: k and l are collectors, whose addresses are @k and @l in the operators' file; c... are clients, o... operators; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
+// Peers: k and l are collectors, whose addresses are @k and @l in the operators' file; c... are clients, o... operators, q... those of the former process; h1, h2 the connections to host 1 in the order in which they came, g1 and so on
 // those to host 2; d1, d2 those to discovery, e1 to the one that a reload names. A letter alone is whichever
 // of them it comes on.
 // clang-format on
