Halve time-outs while slots are scarce: hung calls held most of them

One call followed through the log of n0, with a trace put into a copy: 'end host=1 dest=0 id=5f80 took=8000 prog=3 cause=2 status=0', written whole at 6.1 s and never answered, while its siblings at that host were. 59 such calls in 25 s at all destinations; from 6 s to 20 s they held 8 to 12 of 16 slots. The new test fails with the factor at 1: 3000 instead of 1500.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,6 +26,7 @@
 // Attempt time-outs: mean plus so many mean deviations; unsafe ones are cut later; doubled when silent.
 constexpr double timeout_deviations = 10, least_timeout_ms = 2000, unsafe_patience = 4, most_stretch = 6;
 constexpr double most_aims = 2;  // no time-out beyond so many aims before it is stretched
+constexpr double scarce_share = 0.75, hurried = 0.5;  // time-outs where so many slots are taken: hung calls?
 constexpr double quiet_deviations = 4, least_quiet_ms = 500;  // no answer at all for so long: silent
 constexpr double toll_weight = 2;   // of a route's fee against worth, where routes are chosen
 constexpr double fast_gain = 0.25;  // weight of a new sample in a quick mean
@@ -182,7 +183,7 @@
     void handle(Time now, const Event& event, std::vector<Action>& actions) {
         now_ = now;
         out_ = &actions;
-        if (s_.list_by_ask && !std::exchange(asked_, true)) ask();
+        if (s_.list_by_ask && !std::exchange(asked_, true)) act(Subscribe{});
         std::visit([this](const auto& e) { on(e); }, event);
         pump();
         arm();
@@ -199,8 +200,6 @@
     }
 
 private:
-    void ask() { act(Subscribe{}); }
-
     void on(const ListUpdate& update) {
         if (update.failed) {
             // A list service that fails is asked again with backoff, in time for the site's rule.
@@ -543,9 +542,8 @@
             Message* least = nullptr;
             double least_worth = never;
             for (const int index : backlog_) {
-                const auto& d = destinations_[index];
-                const double drain = drain_ms(d);
-                for (const auto& waiting : d.ready) {
+                const double drain = drain_ms(destinations_[index]);
+                for (const auto& waiting : destinations_[index].ready) {
                     if (waiting.empty()) continue;
                     auto& m = messages_.at(waiting.begin()->second);
                     const double worth = worth_at(m, now_ + drain);
@@ -761,8 +759,9 @@
         leave_ready(m);
         const auto& lane = lanes_[endpoints_[endpoint].lane];
         const bool unsafe = s_.classes[m.message_class].repeat == Repeat::side_effect;
-        const double patience =
-            timeout_ms(lane, m.message_class) * std::max(unsafe ? unsafe_patience : 1, lane.stretch);
+        const bool scarce = slots_used_ + 1 >= scarce_share * s_.slots;
+        const double patience = timeout_ms(lane, m.message_class) * (scarce ? hurried : 1) *
+                                std::max(unsafe ? unsafe_patience : 1, lane.stretch);
         m.state = State::flying;
         m.sent = now_;
         m.endpoint = endpoint;
@@ -1020,7 +1019,7 @@
                 refresh_sick(static_cast<int>(of));
                 touch(lanes_[of].destination);
                 break;
-            case TimerKind::list: ask(); break;
+            case TimerKind::list: act(Subscribe{}); break;
         }
     }
 
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -820,5 +820,20 @@
     EXPECT_GE(sent[0].first, 1000);
 }
 
+// Calls whose connection fell silent fill the slots; each gives its slot back sooner where few are left.
+TEST(Sender, TimeoutsAreShorterWhileSlotsAreScarce) {
+    Rig rig;
+    std::vector<double> patience;
+    for (std::uint16_t d = 0; d < 14; ++d) {
+        rig.list(0, d, static_cast<std::uint16_t>(d + 1), 1);
+        rig.arrive(10, 100 + d, 0, d);
+        const auto* const attempt = rig.first<Attempt>();
+        ASSERT_NE(attempt, nullptr);
+        patience.push_back(attempt->expires - 10);
+    }
+    EXPECT_EQ(patience[10], patience[0]);
+    EXPECT_EQ(patience[13], patience[0] / 2);  // 13 of 16 are taken
+}
+
 }  // namespace
 }  // namespace brasslift::test
