--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,6 +25,7 @@
 constexpr double healthy_share = 0.75, failing_share = 0.5, sick_share = 0.5, window_idle_ms = 60000;
 // Attempt time-outs: mean plus so many mean deviations; unsafe ones are cut later; doubled when silent.
 constexpr double timeout_deviations = 10, least_timeout_ms = 2000, unsafe_patience = 4, most_stretch = 6;
+constexpr double scarce_share = 0.75;
 constexpr double most_aims = 2;  // no time-out beyond so many aims before it is stretched
 constexpr double quiet_deviations = 4, least_quiet_ms = 500;  // no answer at all for so long: silent
 constexpr double toll_weight = 2;   // of a route's fee against worth, where routes are chosen
@@ -762,7 +763,8 @@
         const auto& lane = lanes_[endpoints_[endpoint].lane];
         const bool unsafe = s_.classes[m.message_class].repeat == Repeat::side_effect;
         const double patience =
-            timeout_ms(lane, m.message_class) * std::max(unsafe ? unsafe_patience : 1, lane.stretch);
+            timeout_ms(lane, m.message_class) * std::max(unsafe ? unsafe_patience : 1, lane.stretch) *
+            (slots_used_ + 1 >= scarce_share * s_.slots ? 0.25 : 1);
         m.state = State::flying;
         m.sent = now_;
         m.endpoint = endpoint;
