--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,10 +2,8 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <limits>
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -14,6 +12,7 @@
 #include <utility>
 
 #include "brasslift/sender.hpp"
+#include "state/archive.hpp"
 
 namespace brasslift {
 namespace {
@@ -174,6 +173,13 @@
         tenants_.resize(s_.tenant_rates.size(), {1, -never});
     }
 
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(asked_, ask_failures_, slots_used_, sick_flying_, endpoints_, lanes_, by_id_, timer_name_);
+        archive(free_endpoints_, free_lanes_, destinations_, numbers_, messages_, keys_, calls_, tenants_);
+        archive(overall_, tables_, eager_, backlog_, last_call_, timer_order_, timers_, armed_, stops_at_);
+    }
+
     void handle(Time now, const Event& event, std::vector<Action>& actions) {
         now_ = now;
         out_ = &actions;
@@ -186,6 +192,12 @@
     double window(EndpointId id) const {
         return by_id_.count(id) == 0 ? 0 : lanes_[endpoints_[by_id_.at(id)].lane].window;
     }
+    bool avoids(EndpointId id) const {
+        const auto known = by_id_.find(id);
+        if (known == by_id_.end()) return true;
+        const auto& e = endpoints_[known->second];
+        return e.state != ListingState::ready || e.health.out || lanes_[e.lane].health.out;
+    }
 
 private:
     void on(const ListUpdate& update) {
@@ -321,19 +333,10 @@
         lane.tokens_at = now_;
     }
 
-    // The cold return. Rule: what reaches a returning destination in fall_ms stays under B = tip_multiple x
-    // warmth x rate x fall_ms, refused calls too; from two thirds on, senders that saw a call fail in the
-    // outage are to blame. None knows how many did, how warm it is, or when it returns. So all N are taken to
-    // hold messages for it. Trials: each sends an Nth of trial_part of B at the least warmth; below one call
-    // in fall_ms, at turns every `gap` from a drawn moment, so that what brings senders together (clumps, an
-    // outage's start, the end of one wait) moves no turns; saved up, turns would be a burst: each is lost
-    // after fall_ms. Warmth: deliveries and short waits come amid outages that fail most calls too, so it
-    // counts only from the first delivery after a failure to the latest. Until warm that sender may go on (1
-    // - start) / (trial_part x start x ramp) times a second: trials free trial_part x B senders in fall_ms,
-    // so all grow no faster than B. Where a share q of calls fails, each goes on for 1 / q calls: in all
-    // trial_part x B / q. A call more after a first failure: no more than first tries of senders that knew
-    // nothing. Holds for backlogs, hot destinations, any number of senders. Hurts where few hold messages
-    // (most of the share is unused) and after failures that were no outage.
+    // The cold return; docs/design/cold-return.md has the reasons. Rule: what reaches a returning destination
+    // in fall_ms stays under B = tip_multiple x warmth x rate x fall_ms, refused calls too. Trials: each of N
+    // senders sends an Nth of trial_part of B at the least warmth; below one call in fall_ms, at turns every
+    // `gap` from a drawn moment, each lost after fall_ms, until warm.
     bool cold(const Health& h) const {
         return s_.tip_multiple > 0 && std::min(now_, h.last_ok) < h.back + s_.ramp_ms;
     }
@@ -366,7 +369,7 @@
         if (now_ <= lane.health.excused_at + s_.ramp_ms) return std::max(now_, lane.health.excused_at);
         auto& h = all ? lane.health : e.health;
         if (!cold(h)) return now_;
-        const double endpoints = live(lane), alone = cold_gap(h, capacity(lane) / endpoints);
+        const double endpoints = std::max(1.0, live(lane)), alone = cold_gap(h, capacity(lane) / endpoints);
         const double gap = all ? alone / endpoints : alone;
         if (gap > s_.fall_ms) return turn_at(h, gap);
         return std::max(spaced(h, gap), spaced(e.health, alone));
@@ -518,7 +521,7 @@
 
     double drain_ms(const Destination& d) const {
         double rate = 0;
-        for (const int l : d.lanes) rate += listed(lanes_[l]) ? pace_per_ms(lanes_[l]) : 0;
+        for (const int l : d.lanes) rate += live(lanes_[l]) > 0 ? pace_per_ms(lanes_[l]) : 0;
         return rate > 0 ? static_cast<double>(d.waiting) / rate : 0;
     }
 
@@ -699,14 +702,10 @@
 
     bool ready(int e) const { return endpoints_[e].state == ListingState::ready; }
 
+    // Endpoints in use. A lane that is left over, with none, takes nothing off a backlog.
     double live(const Lane& lane) const {
-        return std::max<double>(1, std::count_if(lane.endpoints.begin(), lane.endpoints.end(),
-                                                 [this](int e) { return ready(e); }));
-    }
-
-    // Whether any of its endpoints is in use: a lane that is left over takes nothing off a backlog.
-    bool listed(const Lane& lane) const {
-        return std::any_of(lane.endpoints.begin(), lane.endpoints.end(), [this](int e) { return ready(e); });
+        return std::count_if(lane.endpoints.begin(), lane.endpoints.end(),
+                             [this](int e) { return ready(e); });
     }
 
     // Unsafe messages wait where calls fail after they may have run, until all is well or time grows short.
@@ -814,7 +813,7 @@
         // Guards against tables full of idle connections that none uses again. May cost a set-up.
         const bool tight = now_ - e.unconnected_at < tight_ms ||
                            (lane.kind < tables_.size() && tables_[lane.kind] > tables_tight);
-        const double reuse = capacity(lane) / s_.senders / live(lane) * s_.conn_idle_ms / 1000;
+        const double reuse = capacity(lane) / s_.senders / std::max(1.0, live(lane)) * s_.conn_idle_ms / 1000;
         if (tight && e.flying == 0 && reuse < least_reuse) {
             e.warm = 0;
             act(Close{e.id});
@@ -942,7 +941,7 @@
             const auto& d = destinations_[m.destination];
             double held = never;  // by told waits and cold returns
             for (const int l : d.lanes) {
-                if (!listed(lanes_[l])) continue;
+                if (live(lanes_[l]) == 0) continue;
                 const auto& h = lanes_[l].health;
                 held = std::min(held, std::max(lanes_[l].wait_until, cold(h) ? h.turn : now_) - now_);
             }
@@ -960,10 +959,9 @@
     }
 
     void rest_key(const Message& m, Result result) {
-        if (m.key == 0 ||
-            (result != Result::timeout && result != Result::reset && result != Result::cancelled))
-            return;
-        keys_[m.key].rest_until = now_ + s_.turn_gap_ms + s_.tick_ms;
+        const bool unsure =
+            result == Result::timeout || result == Result::reset || result == Result::cancelled;
+        if (m.key != 0 && unsure) keys_[m.key].rest_until = now_ + s_.turn_gap_ms + s_.tick_ms;
     }
 
     void pass_turn(std::uint64_t key) {
@@ -990,14 +988,13 @@
     void on(const PeerNote&) {}  // notes are not needed and not trusted
 
     void set_timer(Time at, TimerKind kind, std::uint64_t of) {
-        timers_.push({at, ++timer_order_, kind, of});
+        timers_.insert({at, ++timer_order_, kind, of});
     }
 
     void on(const TimerFired& fired) {
         if (fired.timer == timer_name_) armed_ = never;
-        while (!timers_.empty() && std::get<Time>(timers_.top()) <= now_) {
-            const auto [at, order, kind, of] = timers_.top();
-            timers_.pop();
+        while (!timers_.empty() && std::get<Time>(*timers_.begin()) <= now_) {
+            const auto [at, order, kind, of] = timers_.extract(timers_.begin()).value();
             ring(kind, of);
         }
     }
@@ -1027,8 +1024,8 @@
     }
 
     void arm() {
-        if (timers_.empty() || std::get<Time>(timers_.top()) >= armed_) return;
-        armed_ = std::get<Time>(timers_.top());
+        if (timers_.empty() || std::get<Time>(*timers_.begin()) >= armed_) return;
+        armed_ = std::get<Time>(*timers_.begin());
         act(SetTimer{std::max(armed_, now_), ++timer_name_});
     }
 
@@ -1055,7 +1052,7 @@
     std::vector<double> tables_;  // by kind: how often a connection table seemed full
     std::set<int> eager_, backlog_;
     std::uint64_t last_call_ = 0, timer_order_ = 0;
-    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+    std::set<Timer> timers_;
     Time armed_ = never, stops_at_ = never;
     std::uint32_t timer_name_ = 0;
 };
@@ -1071,5 +1068,8 @@
 }
 Time Sender::sleeps_until(MessageId id) const { return choice_->sleeps_until(id); }
 double Sender::window(EndpointId id) const { return choice_->window(id); }
+bool Sender::avoids(EndpointId id) const { return choice_->avoids(id); }
+std::string Sender::save() const { return state::pack(*choice_); }
+bool Sender::load(const std::string& bytes) { return state::unpack(*choice_, bytes); }
 
 }  // namespace brasslift
