--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -375,17 +375,21 @@
     std::atomic<bool> ended{false};
     bool installed = false;
     std::thread remover;
+    std::uint64_t slice = first_slice;
     const auto value = value_of(1);
     const std::uint64_t keys = options.budget / 2 / 250;
     std::mt19937_64 chance(1);
     std::vector<double> writes, slices;
+    writes.reserve(keys * 4);  // that they grow is no one's slice
+    slices.reserve(keys * 4);
     std::uint64_t refused = 0;
     for (std::uint64_t i = 0; i < keys * 4; ++i) {
         const double begun = now_s();
         const auto key = i < keys ? i : chance() % keys;
         refused += store.write(Batch().put(1, key_of(key), value, 1), Purpose::fresh) ? 0 : 1;
         const double behind = now_s();
-        store.step(1, 64 * 1024);
+        store.step(1, slice);
+        slice = next_slice(slice, (now_s() - behind) * 1000);
         if (ended) {
             store.finish(*job, 0, installed);
             job.reset();
--- a/src/store/decide.cpp
+++ b/src/store/decide.cpp
@@ -78,6 +78,12 @@
     return false;
 }
 
+std::uint64_t next_slice(std::uint64_t bytes, double took_ms) {
+    constexpr std::uint64_t least = 8 * 1024, most = 128 * 1024;
+    if (took_ms > 1.5) return std::max(bytes / 2, least);
+    return took_ms > 0.1 && took_ms < 0.3 ? std::min(bytes * 2, most) : bytes;
+}
+
 Conclusion conclude(std::span<const Reading> readings, bool manifest, Version next) {
     Conclusion out;
     out.next = next;
--- a/src/store/decide.hpp
+++ b/src/store/decide.hpp
@@ -46,6 +46,11 @@
 // Whether the segment written to should be sealed before it is full, so that it can be compacted.
 bool seal_early(const Room& room, std::span<const SegmentState> segments);
 
+// How much the next slice of compaction reads, after one that read so much and held the loop so long: it aims
+// at 1 to 2 ms, far under the 5 ms that a slice may take.
+constexpr std::uint64_t first_slice = 64 * 1024;
+std::uint64_t next_slice(std::uint64_t bytes, double took_ms);
+
 // What a scan of one segment's file came to.
 struct Reading {
     Number number = 0;
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -12,8 +12,6 @@
 namespace brasslift::store {
 namespace {
 
-// A slice reads so much: with small records among a million keys that is a millisecond and a half.
-constexpr std::uint64_t slice_bytes = 64 * 1024;
 constexpr double between_slices_ms = 1;  // others have their turn
 constexpr double idle_ms = 250;          // retention, and what failed before
 
@@ -98,16 +96,21 @@
     if (synced_) synced_();
 }
 
-bool Keeper::slice() { return store_.step(static_cast<Stamp>(runtime::wall_now()), slice_bytes); }
+bool Keeper::slice() {
+    const auto begun = runtime::steady_now();
+    const bool more = store_.step(static_cast<Stamp>(runtime::wall_now()), slice_);
+    slice_ = next_slice(slice_, runtime::steady_now() - begun);
+    return more;
+}
 
 runtime::Task<void> Keeper::run() {
-    runtime::Time next_slice = scheduler_.now() + idle_ms;
+    runtime::Time slice_due = scheduler_.now() + idle_ms;
     for (;;) {
         take_back();
         hand_out();
-        if (scheduler_.now() >= next_slice)
-            next_slice = scheduler_.now() + (slice() ? between_slices_ms : idle_ms);
-        auto until = next_slice;
+        if (scheduler_.now() >= slice_due)
+            slice_due = scheduler_.now() + (slice() ? between_slices_ms : idle_ms);
+        auto until = slice_due;
         if (store_.options().durability == Durability::interval && !out_)
             until = std::min(until, std::max(scheduler_.now() + 0.5, last_sync_ + interval_));
         co_await waker_.wait(until);
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -42,6 +42,7 @@
     Store& store_;
     Files& files_;
     double interval_;
+    std::uint64_t slice_ = first_slice;  // bytes
     std::function<void()> synced_;
     runtime::Time last_sync_ = 0;
 
--- a/src/store/recover.cpp
+++ b/src/store/recover.cpp
@@ -233,7 +233,7 @@
     // Frames without a manifest are read as damage: none is written before there is one.
     if (options_.durability == Durability::none)
         return generation_ > 0 ? Fault::none : fail(Fault::io, "the manifest cannot be written");
-    const auto job = next_job();
+    auto job = next_job();
     bool installed = false;
     finish(*job, job->run(files_, &installed), installed);
     return installed ? Fault::none : fail(Fault::io, "the manifest cannot be written");
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -19,13 +19,16 @@
                        [](const Judgement& j) { return j.what == Judgement::What::torn; });
 }
 
-int Job::run(Files& all, bool* installed) const {
+int Job::run(Files& all, bool* installed) {
     for (const auto& file : files)
         if (const int bad = file->sync(); bad < 0) return bad;
     if (folder)
         if (const int bad = all.sync_folder(); bad < 0) return bad;
     // One that stays is not in the manifest and goes at the next start.
-    for (const auto& name : removals) all.remove(name);
+    for (auto& removal : removals) {
+        all.remove(segment_name(removal.number));
+        removal.file.reset();
+    }
     if (!manifest) return 0;
     // A manifest that could not be put in place leaves the old one, which is true as well.
     std::unique_ptr<File> file;
@@ -380,7 +383,7 @@
     if (job_out_ || broken_) return std::nullopt;
     Job job;
     if (works_apart_)
-        for (const auto& removing : removing_) job.removals.push_back(segment_name(removing.number));
+        for (auto& removing : removing_) job.removals.push_back({removing.number, std::move(removing.file)});
     const bool syncs = options_.durability != Durability::none;
     const bool manifest_waits = manifest_due_ && !installs_at_once();
     if (dirty_.empty() && !folder_dirty_ && !manifest_waits && job.removals.empty()) return std::nullopt;
@@ -407,10 +410,9 @@
         why_ = std::string("a sync failed: ") + std::strerror(-result);
         return;
     }
-    for (const auto& name : job.removals) {
-        const auto number = number_of_segment(name);
+    for (const auto& removal : job.removals) {
         std::erase_if(removing_, [&](const Removing& r) {
-            if (r.number != number) return false;
+            if (r.number != removal.number) return false;
             size_ -= std::min(size_, r.size);
             return true;
         });
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -62,10 +62,14 @@
     bool folder = false, sync = false;  // sync: the manifest too
     std::optional<std::string> manifest;
     std::uint64_t generation = 0;
-    Version upto = 0;                   // exclusive; durable when all of it has succeeded
-    std::vector<std::string> removals;  // large files that nothing refers to any more
+    Version upto = 0;  // exclusive; durable when all of it has succeeded
+    struct Removal {
+        Number number = 0;
+        std::shared_ptr<File> file;  // the last to hold it: its bytes are freed where it is closed
+    };
+    std::vector<Removal> removals;
     // 0 or less errno's number; `installed`: the manifest is in place.
-    int run(Files& files, bool* installed = nullptr) const;
+    int run(Files& files, bool* installed = nullptr);
 };
 
 class Store {
--- a/tests/store_decide_test.cpp
+++ b/tests/store_decide_test.cpp
@@ -124,6 +124,18 @@
     EXPECT_TRUE(c.fresh_segment);
 }
 
+TEST(StoreDecides, SlicesByTheTimeThatTheyTake) {
+    EXPECT_EQ(next_slice(first_slice, 1), first_slice);
+    EXPECT_EQ(next_slice(first_slice, 2.1), first_slice / 2);
+    EXPECT_EQ(next_slice(first_slice, 0.2), first_slice * 2);
+    EXPECT_EQ(next_slice(first_slice, 0), first_slice);  // nothing was to be done
+    auto bytes = first_slice;
+    for (int i = 0; i < 40; ++i) bytes = next_slice(bytes, 9);
+    EXPECT_EQ(bytes, 8U * 1024);
+    for (int i = 0; i < 40; ++i) bytes = next_slice(bytes, 0.2);
+    EXPECT_EQ(bytes, 128U * 1024);
+}
+
 TEST(StoreDecides, WhatHasOutlivedItsRetention) {
     EXPECT_TRUE(outlived({1000, 0, 0}, 1, 10, {0, 10}, 1001));
     EXPECT_FALSE(outlived({1000, 0, 0}, 1, 10, {0, 10}, 1000));
