End the process though a successor asks in its last turn

Cause, found by reading and not seen in a run: Life::run took any asking successor as a reason to set the loop going again, also where until_stopped had just ended it; the process would then have hung until SIGKILL. Change: stopped_ is set at the end and looked at; Lifecycle::works, used by nobody, is gone. Result: 34 hand-over, drain, admin and kill scenarios pass with sanitizers.

--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -15,8 +15,6 @@
     bool ready() const { return phase_ == Phase::ready; }
     // Whether answers tell clients to connect anew elsewhere.
     bool sends_away() const { return phase_ == Phase::draining || phase_ == Phase::stopping; }
-    // Whether it works on messages at all, or has given its work to another process.
-    bool works() const { return phase_ != Phase::handing_over && phase_ != Phase::handed_over; }
     bool draining() const { return phase_ == Phase::draining; }
     double drained_ms(double now) const { return draining() ? now - since_ : 0; }
 
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -171,7 +171,8 @@
     if (stopped_) return std::nullopt;
     for (bool given = false; !given;) {
         scheduler_.run();
-        if (!heir_) {
+        // One that asks while the last turn runs must not set the loop going again.
+        if (!heir_ || stopped_) {
             scheduler_.drop_tasks();
             return std::nullopt;
         }
@@ -241,6 +242,7 @@
         co_await runtime::sleep_until(scheduler_, std::min(scheduler_.now() + poll_ms, told + untold_ms));
     if (!watch_.done())
         runtime::log("main", "the collector did not take %zu items in time", watch_.waiting());
+    stopped_ = true;
     scheduler_.stop();
 }
 
--- a/src/serve/life.hpp
+++ b/src/serve/life.hpp
@@ -98,7 +98,7 @@
         state::Luggage luggage;
     };
     std::unique_ptr<Taken> taken_;  // what the process before gave, until it goes on here
-    bool stopped_ = false;          // before it began
+    bool stopped_ = false;          // by a signal, before it began or at its end
     std::uint64_t configs_taken_ = 0, configs_refused_ = 0;
 };
 
