Let discovery's watch go in a large fleet, and ask again at a spread pace

At fault: Cluster::watch held every watch open for good and re-asked after 100 ms doubling to 2 s, on one schedule for all.

Change. cluster::WatchPace, a decision without I/O: in a fleet of more than ten (instances in the settings) a watch is let go once its first object has come, and the next comes after a pause of at least 2 s, spread 0.5..1.5; a refusal doubles it up to 8 s, a heard watch takes a quarter off; a Retry-After is kept to. A fleet of ten or fewer keeps its watch, as before. Tests: WatchPace's rules, and a scenario with instances 100 that fails with the let-go disabled ("d1 closed: still open").

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -1,6 +1,8 @@
 #include "cluster/cluster.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 #include <set>
 #include <utility>
 
@@ -11,7 +13,6 @@
 namespace brasslift::cluster {
 namespace {
 
-constexpr double first_pause_ms = 100, longest_pause_ms = 2000;
 constexpr double dial_ms = 1000;
 // An empty line comes every 2 s. Changes count as told 6 s late whether they came or not, so a watch that
 // has fallen silent is opened anew well before; the last list is kept meanwhile.
@@ -68,7 +69,8 @@
       forget_ms_(forget_ms),
       waker_(scheduler),
       watch_waker_(scheduler),
-      mailbox_(waker_) {}
+      mailbox_(waker_),
+      pace_(config.seed, config.settings.senders) {}
 
 dispatch::Listed Cluster::apply(const News& news) {
     version_ = news.version;
@@ -170,14 +172,19 @@
 }
 
 runtime::Task<void> Cluster::watch() {
-    double pause = first_pause_ms;
     asked_ = version_;
     for (;;) {
-        const bool heard = co_await follow();
-        pause = heard ? first_pause_ms : std::min(2 * pause, longest_pause_ms);
+        const auto ended = co_await follow();
+        const double pause = pace_.after(ended.end, ended.told_ms);
+        if (ended.end == WatchEnd::refused && pace_.pause_ms() >= WatchPace::longest_ms && !refused_told_) {
+            refused_told_ = true;  // once: a fleet that overbooks discovery must not fill the log too
+            runtime::log("cluster", "discovery refuses the watch (%d): asking every %.0f ms or so",
+                         ended.status, pace_.pause_ms());
+        }
+        if (ended.end == WatchEnd::heard) refused_told_ = false;
         const Time until = scheduler_.now() + pause;
         while (!moved_ && scheduler_.now() < until) co_await watch_waker_.wait(until);
-        if (std::exchange(moved_, false)) pause = first_pause_ms;
+        if (std::exchange(moved_, false)) pace_.reset();
     }
 }
 
@@ -188,38 +195,50 @@
     watch_waker_.notify();
 }
 
-// One watch, until its connection ends or falls silent. False: discovery is not there, ask less often.
-runtime::Task<bool> Cluster::follow() {
+// One watch, until its connection ends or falls silent, and how it ended.
+runtime::Task<Cluster::Ended> Cluster::follow() {
     auto& waker = watch_waker_;
+    const Ended unreachable{WatchEnd::unreachable};
     auto socket = runtime::connect_to(scheduler_, discovery_, waker);
-    if (!socket) co_return false;
+    if (!socket) co_return unreachable;
     const Time until = scheduler_.now() + dial_ms;
     auto state = socket->connected();
     while (state == runtime::Io::blocked && !moved_ && scheduler_.now() < until) {
         co_await waker.wait(until);
         state = socket->connected();
     }
-    if (state != runtime::Io::done || moved_) co_return false;
+    if (state != runtime::Io::done || moved_) co_return unreachable;
     const auto request = watch_request(asked_);
-    if (socket->write(request).count != request.size()) co_return false;
+    told_in_call_ = false;
+    if (socket->write(request).count != request.size()) co_return unreachable;
     http::Parser parser(http::Parser::Side::response, watch_limits);
     bool heard = false;
+    const auto so_far = [&heard] { return Ended{heard ? WatchEnd::heard : WatchEnd::unreachable}; };
     Time last = scheduler_.now();
     char part[16384];
     for (;;) {
         const auto got = socket->read(part, sizeof part);
         if (got.io == runtime::Io::blocked) {
-            if (scheduler_.now() >= last + silence_ms) co_return true;
+            // Discovery took the call and then fell silent: for the pace, it was heard.
+            if (scheduler_.now() >= last + silence_ms) co_return Ended{WatchEnd::heard};
             co_await waker.wait(last + silence_ms);
-            if (moved_) co_return true;
+            if (moved_) co_return Ended{WatchEnd::heard};
             continue;
         }
-        if (got.io != runtime::Io::done) co_return heard;
+        if (got.io != runtime::Io::done) co_return so_far();
         last = scheduler_.now();
         parser.feed({part, got.count});
-        if (parser.has_status() && parser.message().status != 200) co_return heard;
+        if (parser.has_status() && parser.message().status != 200) {
+            const auto* wait = parser.message().headers.find("Retry-After");
+            const double told_s = wait != nullptr ? std::strtod(wait->c_str(), nullptr) : 0;
+            co_return Ended{WatchEnd::refused, parser.message().status,
+                            std::isfinite(told_s) ? told_s * 1000 : 0};
+        }
+        const bool had_news = told_in_call_;
         heard = take_lines(parser.message().body) || heard;
-        if (parser.complete() || parser.fault() != http::Fault::none) co_return heard;
+        if (parser.complete() || parser.fault() != http::Fault::none) co_return so_far();
+        // In a large fleet the watch is let go with what it brought, so that others get one too.
+        if (!had_news && told_in_call_ && pace_.lets_go()) co_return Ended{WatchEnd::heard};
     }
 }
 
@@ -238,6 +257,7 @@
         }
         asked_ = news->version;
         mailbox_.put(std::move(*news));
+        told_in_call_ = true;
         heard_ = true;
     }
     return heard;
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "cluster/pace.hpp"
 #include "config/config.hpp"
 #include "dispatch/types.hpp"
 #include "runtime/mailbox.hpp"
@@ -61,7 +62,12 @@
     bool heard() const { return heard_; }  // a list or changes, since the start
 
 private:
-    runtime::Task<bool> follow();
+    struct Ended {
+        WatchEnd end = WatchEnd::unreachable;
+        int status = 0;      // of a refusal
+        double told_ms = 0;  // its Retry-After
+    };
+    runtime::Task<Ended> follow();
     bool take_lines(std::string& body);
 
     runtime::Scheduler& scheduler_;
@@ -84,6 +90,8 @@
     std::uint32_t last_id_ = 0;           // never given twice: another uid is another host
     std::uint32_t version_ = 0, asked_ = 0;
     bool heard_ = false, moved_ = false;
+    WatchPace pace_;
+    bool refused_told_ = false, told_in_call_ = false;
 };
 
 }  // namespace brasslift::cluster
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -128,6 +128,8 @@
             if (double disk = 0; in >> disk) disk_mb_ = disk;
             return start(limit, files);
         }
+        if (who == "fleet")
+            return in >> instances_, void();  // dispatchers in the settings, from the next start
         if (who == "wait") {
             int ms = 0;
             in >> ms;
@@ -414,6 +416,7 @@
                       {"s-2", host2_.address(), 2},
                       {"s-9", host2_.address(), 9, "Terminating"}};  // a destination without hosts
         site.disk_mb = disk_mb_;
+        site.instances = instances_;
         std::ofstream(folder_ + "/config.json") << site_config(site);
     }
 
@@ -567,6 +570,7 @@
 
     std::string folder_;
     double disk_mb_ = 3;
+    int instances_ = 3;
     std::uint16_t port_ = 0, admin_port_ = 0, former_admin_ = 0;
     Descriptor heir_;
     std::thread ancestor_, burst_;
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -29,7 +29,9 @@
            "\"bounds\":{\"most_held\":" +
            std::to_string(site.most_held) + ",\"send_cap\":" + std::to_string(site.send_cap) +
            ",\"conn_idle_ms\":3000.0,\"dial_timeout_ms\":500.0,\"retry_after\":true,"
-           "\"max_retry_after_ms\":3000.0},\"instances\":3,\"tick_ms\":5.0,\"discovery\":\"push\","
+           "\"max_retry_after_ms\":3000.0},\"instances\":" +
+           std::to_string(site.instances) +
+           ",\"tick_ms\":5.0,\"discovery\":\"push\","
            "\"weights\":\"rough\",\"invariants\":{\"drain_grace_ms\":2000.0,\"start_capacity\":0.14,"
            "\"ramp_time_ms\":11000.0,\"tip_multiple\":2.5,\"fall_ms\":2000.0},\"localities\":[\"a\"],"
            "\"host_types\":[\"many\"],\"report\":{\"fields\":[],\"how\":\"off\"},\"request_classes\":[" +
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -15,7 +15,7 @@
 struct Site {
     std::string discovery;
     std::vector<SiteHost> hosts;
-    int workers = 8, send_cap = 4, most_held = 20, sockets = 256;
+    int workers = 8, send_cap = 4, most_held = 20, sockets = 256, instances = 3;
     double disk_mb = 3;
 };
 
