Keep a small fleet's re-ask as it was; draw the pace from the project's mt19937

The pace had its own xorshift where the project draws from std::mt19937 elsewhere, and follow() learned of news through a member flag set inside take_lines. Change: a small fleet goes back to 100 ms after a heard watch and doubles to 2 s at most, spread only; the draw is a std::mt19937_64 from the config's seed; take_lines returns whether lines and whether news came. Test HoldsTheWatchOfASmallFleetAndReasksAsBefore pins the old ceiling and reset.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -209,7 +209,6 @@
     }
     if (state != runtime::Io::done || moved_) co_return unreachable;
     const auto request = watch_request(asked_);
-    told_in_call_ = false;
     if (socket->write(request).count != request.size()) co_return unreachable;
     http::Parser parser(http::Parser::Side::response, watch_limits);
     bool heard = false;
@@ -234,20 +233,20 @@
             co_return Ended{WatchEnd::refused, parser.message().status,
                             std::isfinite(told_s) ? told_s * 1000 : 0};
         }
-        const bool had_news = told_in_call_;
-        heard = take_lines(parser.message().body) || heard;
+        const auto taken = take_lines(parser.message().body);
+        heard = taken.lines || heard;
         if (parser.complete() || parser.fault() != http::Fault::none) co_return so_far();
         // In a large fleet the watch is let go with what it brought, so that others get one too.
-        if (!had_news && told_in_call_ && pace_.lets_go()) co_return Ended{WatchEnd::heard};
+        if (taken.news && pace_.lets_go()) co_return Ended{WatchEnd::heard};
     }
 }
 
-bool Cluster::take_lines(std::string& body) {
-    bool heard = false;
+Cluster::Taken Cluster::take_lines(std::string& body) {
+    Taken taken;
     for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n')) {
         const std::string line(http::trimmed(std::string_view(body).substr(0, end)));
         body.erase(0, end + 1);
-        heard = true;
+        taken.lines = true;
         if (line.empty() || line == "\r") continue;
         const auto flat = config::flatten(line);
         auto news = flat ? read_news(*flat, config_) : std::nullopt;
@@ -257,10 +256,10 @@
         }
         asked_ = news->version;
         mailbox_.put(std::move(*news));
-        told_in_call_ = true;
+        taken.news = true;
         heard_ = true;
     }
-    return heard;
+    return taken;
 }
 
 }  // namespace brasslift::cluster
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -68,7 +68,10 @@
         double told_ms = 0;  // its Retry-After
     };
     runtime::Task<Ended> follow();
-    bool take_lines(std::string& body);
+    struct Taken {
+        bool lines = false, news = false;  // any line, empty ones too; a list or changes
+    };
+    Taken take_lines(std::string& body);
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
@@ -91,7 +94,7 @@
     std::uint32_t version_ = 0, asked_ = 0;
     bool heard_ = false, moved_ = false;
     WatchPace pace_;
-    bool refused_told_ = false, told_in_call_ = false;
+    bool refused_told_ = false;
 };
 
 }  // namespace brasslift::cluster
--- a/src/cluster/pace.hpp
+++ b/src/cluster/pace.hpp
@@ -11,9 +11,11 @@
 // watch is let go once its first object, the changes since the version asked for, has come, and asked for
 // again after a pause of its own: every dispatcher hears each change within a few seconds.
 // Units: milliseconds. Errors: none; a pause is always finite, within [0, longest_ms x spread_high].
+// A small fleet keeps its watch open and re-asks as before, with the spread only.
 #pragma once
 
 #include <cstdint>
+#include <random>
 
 namespace brasslift::cluster {
 
@@ -25,10 +27,12 @@
 
 class WatchPace {
 public:
-    // After a heard watch of a calm fleet; at most, before the spread.
-    static constexpr double first_ms = 100, longest_ms = 8000;
-    // A heard watch takes so much off the pause: the fleet comes back to discovery slowly, as it went away
-    // fast.
+    // After a heard watch of a small fleet, and its longest pause, as they were before large fleets.
+    static constexpr double first_ms = 100, longest_small_ms = 2000;
+    // The longest pause of a large fleet, before the spread.
+    static constexpr double longest_ms = 8000;
+    // In a large fleet a heard watch takes so much off the pause: the fleet comes back to discovery slowly,
+    // as it went away fast. A small fleet starts again from first_ms.
     static constexpr double heard_keeps = 0.75;
     // The spread, as shares of the pause: wide enough that a fleet which started together falls apart.
     static constexpr double spread_low = 0.5, spread_high = 1.5;
@@ -40,7 +44,7 @@
     static constexpr double poll_ms = 2000;
 
     WatchPace(std::uint64_t seed, int senders)
-        : many_(senders > many_senders), pause_ms_(many_ ? poll_ms : first_ms), state_(seed | 1) {}
+        : many_(senders > many_senders), pause_ms_(floor_ms()), random_(seed) {}
     // Whether a watch is let go once its first object has come.
     bool lets_go() const { return many_; }
     // The pause before the next watch, after one that ended so. `told_ms`: a Retry-After in ms, 0: none; it
@@ -52,10 +56,10 @@
 
 private:
     double floor_ms() const { return many_ ? poll_ms : first_ms; }
-    double draw();  // in [0, 1)
+    double ceiling_ms() const { return many_ ? longest_ms : longest_small_ms; }
     bool many_;
     double pause_ms_;
-    std::uint64_t state_;
+    std::mt19937_64 random_;  // each process from its own seed, so that two started together part at once
 };
 
 }  // namespace brasslift::cluster
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,10 +12,13 @@
 using cluster::WatchEnd;
 using cluster::WatchPace;
 
-TEST(WatchPace, HoldsTheWatchOfASmallFleet) {
+TEST(WatchPace, HoldsTheWatchOfASmallFleetAndReasksAsBefore) {
     WatchPace pace(7, 3);
     EXPECT_FALSE(pace.lets_go());
+    for (int i = 0; i < 10; ++i) pace.after(WatchEnd::unreachable);
+    EXPECT_EQ(pace.pause_ms(), WatchPace::longest_small_ms);
     const double pause = pace.after(WatchEnd::heard);
+    EXPECT_EQ(pace.pause_ms(), WatchPace::first_ms);
     EXPECT_GE(pause, WatchPace::first_ms * WatchPace::spread_low);
     EXPECT_LE(pause, WatchPace::first_ms * WatchPace::spread_high);
 }
