Agree on rule sets with versions, and act on them under leases of a majority

Planted bugs are found: leases that no voter refuses, versions that do not wait, libraft's echo; on the rig, leases that nothing ends.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,19 @@
 # The usual tasks; CMake does the work.
-.PHONY: build test lint format config-docs bench run clean
+.PHONY: packages build demo test lint format config-docs bench run clean
 
-build:
+# On a bare Debian machine; needs root only where something is missing.
+packages:
+	tools/install-packages
+
+build: packages
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
 	cmake --build build -j4
 
-test:
+# A minute of five dispatchers that agree on their rules, with a kill and a cut.
+demo: build
+	build/brasslift-lab demo
+
+test: packages
 	cmake --workflow --preset test
 
 lint:
@@ -18,7 +26,7 @@
 	cmake --build build --target schema_doc
 	cmake -DTOOL=build/schema_doc -DSCHEMA=build/proto/brasslift_schema.desc -DDOC=docs/config-language.md -DWRITE=ON -P tests/schema_doc.cmake
 
-bench:
+bench: packages
 	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBRASSLIFT_BENCH=ON
 	cmake --build build-bench -j4
 
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -13,11 +13,16 @@
 // Some connect and never end their call; whoever does wait leaves after 1 s.
 constexpr double call_ms = 3000, write_ms = 1000, linger_ms = 300;
 constexpr std::size_t most_callers = 24, kept_aside = 8;
-constexpr http::Limits limits{4096, 4096};
+constexpr http::Limits limits{4096, 4096}, more_limits{4096, 2 << 20};
+constexpr double more_ms = 12000;  // a publish waits for others
 constexpr double pause_ms = 20;
 
 }  // namespace
 
+bool is_more(const http::Message& request) {
+    return request.target.starts_with("/members") || request.target.starts_with("/rules");
+}
+
 Reply answer(const http::Message& request, const Calls& calls) {
     struct Path {
         std::string_view name, method;
@@ -36,14 +41,15 @@
     if (request.method != path->method) return {405, "", std::string(path->method)};
     if (!path->act) return {200, calls.figures(), ""};
     const bool yes = path->act();
-    return {yes ? 200 : 503, yes ? "yes\n" : "no\n", ""};
+    const auto note = path->name == "/ready" && calls.note ? calls.note() : "";
+    return {yes ? 200 : 503, (yes ? "yes\n" : "no\n") + note, ""};
 }
 
 struct Server::Caller {
-    Caller(runtime::Scheduler& scheduler, runtime::Descriptor fd)
+    Caller(runtime::Scheduler& scheduler, runtime::Descriptor fd, bool more)
         : waker(scheduler),
           socket(scheduler, std::move(fd), waker),
-          parser(http::Parser::Side::request, limits),
+          parser(http::Parser::Side::request, more ? more_limits : limits),
           until(scheduler.now() + call_ms) {}
     runtime::Waker waker;
     runtime::Socket socket;
@@ -102,7 +108,7 @@
 
 void Server::take(runtime::Descriptor fd) {
     if (callers_.size() >= most_callers) evict_oldest();
-    auto caller = std::make_shared<Caller>(scheduler_, std::move(fd));
+    auto caller = std::make_shared<Caller>(scheduler_, std::move(fd), static_cast<bool>(calls_.more));
     if (!caller->socket) return;
     callers_.push_back(caller);
     scheduler_.spawn(serve(std::move(caller)));
@@ -125,7 +131,10 @@
     // A value of its own, not a temporary of the awaiting expression: GCC 12 destroys such a one twice.
     Reply reply;
     reply.status = 0;
-    if (called)
+    if (called && calls_.more && is_more(c.parser.message())) {
+        c.until = scheduler_.now() + more_ms;
+        reply = co_await calls_.more(c.parser.message());
+    } else if (called)
         reply = answer(c.parser.message(), calls_);
     else if (c.parser.fault() != http::Fault::none)
         reply.status = http::status_of(c.parser.fault());
@@ -158,7 +167,7 @@
 
 runtime::Task<void> Server::write(Caller& c, const Reply& reply) {
     c.whole = true;
-    http::HeaderList headers{{"Connection", "close"}, {"Content-Type", "text/plain"}};
+    http::HeaderList headers{{"Connection", "close"}, {"Content-Type", reply.type}};
     if (!reply.allow.empty()) headers.emplace_back("Allow", reply.allow);
     const auto text = http::write_response(reply.status, headers, reply.body);
     std::string_view rest = text;
--- a/src/admin/server.hpp
+++ b/src/admin/server.hpp
@@ -16,13 +16,18 @@
 struct Reply {
     int status = 200;
     std::string body, allow;  // allow: the method that the path has
+    std::string type = "text/plain";
 };
 
 // What the process does when it is asked.
 struct Calls {
     std::function<bool()> ready, drain, undrain;
     std::function<std::string()> figures;
+    std::function<std::string()> note = {};  // what /ready says beside yes or no
+    // Calls below /members and /rules, which may take their time; none: there are no such paths.
+    std::function<runtime::Task<Reply>(const http::Message&)> more = {};
 };
+bool is_more(const http::Message& request);
 
 // Which call a request is, and what it comes to. 503: the process cannot do that at the moment.
 Reply answer(const http::Message& request, const Calls& calls);
--- a/src/client/caller.cpp
+++ b/src/client/caller.cpp
@@ -17,7 +17,7 @@
     }
     const auto state = co_await runtime::come_up(scheduler_, socket_, waker_, until());
     std::string_view rest = request;
-    http::Parser parser(http::Parser::Side::response);
+    http::Parser parser(http::Parser::Side::response, limits_);
     char part[4096];
     while (state == runtime::Io::done && !parser.complete() && scheduler_.now() < until()) {
         if (!rest.empty()) {
--- a/src/client/caller.hpp
+++ b/src/client/caller.hpp
@@ -13,7 +13,9 @@
 
 class Caller {
 public:
-    explicit Caller(runtime::Scheduler& scheduler) : scheduler_(scheduler), waker_(scheduler) {}
+    // `limits`: of answers.
+    explicit Caller(runtime::Scheduler& scheduler, http::Limits limits = {})
+        : scheduler_(scheduler), waker_(scheduler), limits_(limits) {}
 
     // The answer, where a whole one came in time; without one the connection is closed, so that a late answer
     // finds nobody. `until` is asked again whenever the call is nudged.
@@ -26,6 +28,7 @@
     runtime::Scheduler& scheduler_;
     runtime::Waker waker_;
     runtime::Socket socket_;
+    http::Limits limits_;
 };
 
 }  // namespace brasslift::client
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -180,6 +180,8 @@
     if (coming_.count(s.name) != 0) return refuse(s, *client, Reply::conflict, Refusal::conflict, 0);
     if (ledger_.held() + candidates_.size() >= static_cast<std::size_t>(settings_.max_held))
         return refuse(s, *client, Reply::full, Refusal::held, full_pause_ms);
+    if (authority_ != nullptr && !authority_->may(rules_version_))
+        return refuse(s, *client, Reply::full, Refusal::lease, full_pause_ms);
     const auto id = ledger_.reserve_id();
     if (gate_) {
         const auto mark = print ^ salt_of(s.tenant);
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "dispatch/authority.hpp"
 #include "dispatch/durable.hpp"
 #include "dispatch/figures.hpp"
 #include "dispatch/ledger.hpp"
@@ -43,6 +44,9 @@
     void watch_by(Observer* observer) { observer_ = observer; }
     // What a record permits waits from now on until the record is durable; nullptr: until it is written.
     void sync_by(Durable* durable) { durable_ = durable; }
+    // Who is asked before new work is answered by the present rules; nullptr: nobody.
+    void judge_by(const Authority* authority) { authority_ = authority; }
+    std::uint64_t rules_version() const { return rules_version_; }
     // The calls at a time that the module's windows allow, by destination.
     std::map<std::uint16_t, double> windows() const;
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
@@ -84,7 +88,10 @@
     void on(const Told& told);
     void on(const Stop& stop);
     void on(const Synced&) { release_durable(); }
-    void on(const Planned& planned) { plan_by(planned.plan); }
+    void on(const Planned& planned) {
+        plan_by(planned.plan);
+        rules_version_ = planned.version;
+    }
 
     // Calls of a pool to a host, where the pool caps them.
     using Route = std::pair<EndpointId, std::string>;  // the pool by its name, which outlasts a reload
@@ -151,6 +158,8 @@
     Outbox& outbox_;
     Observer* observer_ = nullptr;
     Durable* durable_ = nullptr;
+    const Authority* authority_ = nullptr;
+    std::uint64_t rules_version_ = 0;
     std::deque<Waiting> waiting_;
     Time now_ = 0;
     double wall_offset_ = 0;  // wall clock less steady clock
--- a/src/dispatch/observer.hpp
+++ b/src/dispatch/observer.hpp
@@ -11,7 +11,7 @@
 namespace brasslift::dispatch {
 
 // Who would not have a stream, or why it came to nothing: its client had left before its answer.
-enum class Refusal : std::uint8_t { module, plan, held, journal, unlisted, nowhere, conflict, gone };
+enum class Refusal : std::uint8_t { module, plan, held, journal, unlisted, nowhere, conflict, gone, lease };
 
 // A stream as its client handed it in.
 struct Seen {
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -118,6 +118,7 @@
 // The operators' plan from now on.
 struct Planned {
     std::shared_ptr<const plan::Plan> plan;
+    std::uint64_t version = 0;  // that the members agreed on; 0: this dispatcher's own
 };
 
 // More of what was written is durable, or will never be.
--- /dev/null
+++ b/src/lab/fleet.hpp
@@ -0,0 +1,131 @@
+// The fleet rig: real dispatchers, every link between them and to the other parties through a proxy, faults
+// by a seed, and an account of both ends. One thread. Errors: throws std::runtime_error where the rig itself
+// cannot work; what the dispatchers do wrong is in the verdict.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/account.hpp"
+#include "lab/link.hpp"
+#include "lab/peers.hpp"
+#include "lab/process.hpp"
+
+namespace brasslift::lab {
+
+struct FleetPlan {
+    std::string program;  // of the dispatchers
+    int dispatchers = 5, voters = 3;
+    std::uint64_t seed = 1;
+    double faults_ms = 8000;  // publishes and faults come for so long, then all is healed
+    double settle_ms = 14000;
+    double contradiction_ms = 3000;
+    double client_every_ms = 25;  // for each dispatcher
+    double publish_every_ms = 900;
+    double fault_every_ms = 900;  // 0: none
+    bool leases = true;  // false: without a lease the last rules known are kept, so that nothing ends them
+    bool wipes = false;
+    double disk_mb = 40;
+    bool keep_folder = false;
+    bool keeps_logs = false;
+};
+
+struct FleetEnd {
+    std::vector<std::string> broken;
+    double longest_contradiction_ms = 0;
+    std::size_t taken = 0, turned_away = 0, acts = 0;
+    int published = 0, refused = 0, no_majority = 0, kills = 0, stops = 0, cuts = 0, terms = 0;
+    std::vector<double> publish_ms, everywhere_ms;
+    std::string folder;  // where it was kept
+};
+
+class Fleet {
+public:
+    explicit Fleet(const FleetPlan& plan);
+    ~Fleet();
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    // What the seed says, from the start to the verdict. `watch` is called twice a second.
+    FleetEnd play(const std::function<void(Fleet&)>& watch = {});
+
+    // For scripts: each takes effect at once.
+    void start(int at);
+    void form_all();
+    void kill(int at);
+    void term(int at);
+    void stop(int at);
+    void go_on(int at);
+    void wipe(int at);
+    void cut(int from, int to, bool is_cut);  // what one says is not heard by the other
+    void isolate(int at, bool is_cut);        // in both directions, from all members
+    void heal();
+    void run_for(double ms);
+    // Asks until it says yes.
+    bool await(const std::function<bool()>& yes, double most_ms);
+    // An operators' call; status 0: nobody answered.
+    http::Message call(int at, const std::string& method, const std::string& target,
+                       const std::string& body = "", double patience_ms = 13000);
+    http::Message publish(int at, const std::string& rules);
+    // Rules by which a client of the rig sees which version it was answered by.
+    static std::string rules_of(int number);
+    std::uint64_t acting(int at);  // 0: none or unknown
+    std::uint64_t settled(int at);
+    int leader();  // -1: none is known
+    std::string ready(int at);
+    int size() const { return plan_.dispatchers; }
+    bool running(int at) { return all_[static_cast<std::size_t>(at)]->process.running(); }
+    const std::string& folder() const { return folder_; }
+    std::string log_of(int at) const;
+    Account& account() { return account_; }
+    void clients(bool on) { clients_on_ = on; }
+    // What a message to the probed destination is answered by that dispatcher; -1: nothing.
+    int probe(int at);
+    FleetEnd verdict();
+    const FleetEnd& so_far() const { return end_; }
+    double now() const { return runtime::steady_now() - begun_; }
+
+private:
+    struct One {
+        std::string name, folder;
+        std::uint16_t port = 0, admin = 0, member = 0;
+        Process process;
+        std::unique_ptr<Link> to_partner, to_discovery;
+        bool stopped = false;
+        double down_until = 0, stopped_until = 0;
+    };
+    One& one(int at) { return *all_[static_cast<std::size_t>(at)]; }
+    Link& link(int from, int to) { return *links_.at({from, to}); }
+    std::map<std::string, std::string> environment(const One& one) const;
+    void write_files(int at);
+    Party::Reply partner(const http::Message& request);
+    Party::Reply discovery(const http::Message& request);
+    runtime::Task<void> client(int at);
+    runtime::Task<void> publisher();
+    runtime::Task<void> ask(int at, std::string request, double patience_ms,
+                            std::shared_ptr<http::Message> into, std::shared_ptr<bool> done);
+    std::string message(int number, int destination, const char* kind, const std::string& id) const;
+    void fault();
+    void say(const std::string& what);
+
+    FleetPlan plan_;
+    std::mt19937_64 random_;
+    std::string folder_;
+    runtime::Scheduler scheduler_;
+    double begun_ = 0;
+    Account account_;
+    std::unique_ptr<Party> partner_, discovery_;
+    std::vector<std::unique_ptr<One>> all_;
+    std::map<std::pair<int, int>, std::unique_ptr<Link>> links_;
+    std::map<std::uint64_t, double> everywhere_;  // versions whose way to everybody is being timed
+    FleetEnd end_;
+    bool clients_on_ = true, publishing_ = false;
+    int next_message_ = 0, next_rules_ = 1;
+    std::map<std::uint64_t, std::uint64_t> version_of_rules_;
+};
+
+}  // namespace brasslift::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,158 @@
+// brasslift-lab: the rig's command line. Exit: 0 no rule was broken, 1 one was, 2 misused.
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <string>
+
+#include "lab/fleet.hpp"
+
+namespace {
+
+using namespace brasslift::lab;
+
+double quantile(std::vector<double> values, double part) {
+    if (values.empty()) return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1,
+                           static_cast<std::size_t>(part * static_cast<double>(values.size())))];
+}
+
+std::string program_beside(const std::string& given) {
+    if (!given.empty()) return given;
+    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "brasslift").string();
+}
+
+// Many seeds, one after the other, with a line each and the distribution at the end.
+int campaign(FleetPlan plan, std::uint64_t first, std::uint64_t last) {
+    std::vector<double> contradictions, publishes;
+    std::size_t broken = 0, taken = 0, acts = 0;
+    int published = 0, refused = 0, unknown = 0, faults = 0;
+    for (plan.seed = first; plan.seed <= last; ++plan.seed) {
+        const auto end = Fleet(plan).play();
+        contradictions.push_back(end.longest_contradiction_ms);
+        publishes.insert(publishes.end(), end.publish_ms.begin(), end.publish_ms.end());
+        broken += end.broken.empty() ? 0 : 1;
+        taken += end.taken;
+        acts += end.acts;
+        published += end.published;
+        refused += end.refused;
+        unknown += end.no_majority;
+        faults += end.kills + end.stops + end.cuts + end.terms;
+        std::printf(
+            "seed %llu: contradiction %.0f ms, %zu taken, %zu turned away, %zu answers by rules, %d "
+            "published, "
+            "%d refused, %d without majority; %d kills, %d terms, %d stops, %d cuts%s\n",
+            static_cast<unsigned long long>(plan.seed), end.longest_contradiction_ms, end.taken,
+            end.turned_away, end.acts, end.published, end.refused, end.no_majority, end.kills, end.terms,
+            end.stops, end.cuts, end.broken.empty() ? "" : ", BROKEN");
+        for (const auto& rule : end.broken) std::printf("  %s\n", rule.c_str());
+        std::fflush(stdout);
+    }
+    std::printf(
+        "%zu runs: %zu with a broken rule; contradiction p50 %.0f, p90 %.0f, p99 %.0f, most %.0f ms (stated "
+        "%.0f); "
+        "publish p50 %.0f, p99 %.0f ms; %d published, %d refused, %d without majority; %zu messages, %zu "
+        "answers "
+        "by rules, %d faults\n",
+        contradictions.size(), broken, quantile(contradictions, 0.5), quantile(contradictions, 0.9),
+        quantile(contradictions, 0.99), quantile(contradictions, 1), plan.contradiction_ms,
+        quantile(publishes, 0.5), quantile(publishes, 0.99), published, refused, unknown, taken, acts,
+        faults);
+    return broken == 0 ? 0 : 1;
+}
+
+// A minute with a kill and a cut, and a table of what each dispatcher does.
+int demo(FleetPlan plan, double seconds) {
+    plan.fault_every_ms = 0;
+    plan.publish_every_ms = 4000;
+    plan.faults_ms = seconds * 1000 - 6000;
+    Fleet fleet(plan);
+    const bool shown = ::isatty(1) == 1;
+    const double act = plan.faults_ms;
+    int step = 0;
+    std::string happens = "all is well";
+    const auto end = fleet.play([&](Fleet& f) {
+        const double now = f.now();
+        if (step == 0 && now > 0.2 * act)
+            ++step, f.kill(1), happens = "n1 was killed; it starts again at once";
+        if (step == 1 && now > 0.35 * act)
+            ++step, f.isolate(2, true), happens = "n2 is cut off from all others";
+        if (step == 2 && now > 0.6 * act) ++step, f.isolate(2, false), happens = "n2 is back";
+        if (step == 3 && now > 0.75 * act)
+            ++step, f.kill(0), happens = "n0 was killed; it starts again at once";
+        std::printf("%s%4.0f s  %s\n", shown ? "\x1b[H\x1b[J" : "", now / 1000, happens.c_str());
+        std::printf("%-6s %-8s %-8s %s\n", "", "process", "rules", "ready");
+        for (int i = 0; i < f.size(); ++i) {
+            auto ready = f.ready(i);
+            std::replace(ready.begin(), ready.end(), '\n', ' ');
+            std::printf("n%-5d %-8s %-8llu %s\n", i, f.running(i) ? "runs" : "away",
+                        static_cast<unsigned long long>(f.acting(i)), ready.c_str());
+        }
+        std::printf(
+            "%zu messages taken on, %zu open; rule sets published %d; two on different rules for %.0f ms at "
+            "most\n",
+            f.account().taken(), f.account().open(), f.so_far().published,
+            f.account().longest_contradiction());
+        std::fflush(stdout);
+    });
+    std::printf(
+        "\n%zu messages taken on, %d rule sets published, longest contradiction %.0f ms (stated %.0f)\n",
+        end.taken, end.published, end.longest_contradiction_ms, plan.contradiction_ms);
+    for (const auto& rule : end.broken) std::printf("BROKEN: %s\n", rule.c_str());
+    std::printf("verdict: %s\n", end.broken.empty() ? "every rule was kept" : "rules were broken");
+    return end.broken.empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    cxxopts::Options options("brasslift-lab",
+                             "Starts real dispatchers on loopback and throws faults between them.");
+    options.positional_help("campaign | demo");
+    options.add_options()("h,help", "print this text")("command", "",
+                                                       cxxopts::value<std::string>()->default_value(""))(
+        "program", "the dispatcher (else the one beside this program)",
+        cxxopts::value<std::string>()->default_value(""))(
+        "first", "the first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "last", "the last seed", cxxopts::value<std::uint64_t>()->default_value("10"))(
+        "dispatchers", "3 to 25", cxxopts::value<int>()->default_value("5"))(
+        "voters", "3 or 5", cxxopts::value<int>()->default_value("3"))(
+        "seconds", "with faults, of each run", cxxopts::value<double>()->default_value("8"))(
+        "contradiction", "the stated time, ms", cxxopts::value<double>()->default_value("3000"))(
+        "no-leases", "without a lease rules are kept, so that the checker has something to find")(
+        "wipes", "folders are lost now and then");
+    options.parse_positional({"command"});
+    try {
+        const auto given = options.parse(argc, argv);
+        const auto command = given["command"].as<std::string>();
+        if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
+        FleetPlan plan;
+        plan.program = program_beside(given["program"].as<std::string>());
+        plan.dispatchers = given["dispatchers"].as<int>();
+        plan.voters = given["voters"].as<int>();
+        plan.contradiction_ms = given["contradiction"].as<double>();
+        plan.leases = given.count("no-leases") == 0;
+        plan.wipes = given.count("wipes") > 0;
+        const double seconds = given["seconds"].as<double>();
+        plan.faults_ms = seconds * 1000;
+        const bool fits = plan.dispatchers >= 3 && plan.dispatchers <= 25 && plan.voters <= plan.dispatchers;
+        if (fits && command == "campaign")
+            return campaign(plan, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
+        if (fits && command == "demo") return demo(plan, given.count("seconds") > 0 ? seconds : 60);
+        std::fprintf(stderr,
+                     "brasslift-lab: campaign or demo, with 3 to 25 dispatchers (--help tells more)\n");
+        return 2;
+    } catch (const cxxopts::exceptions::exception& fault) {
+        std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
+        return 2;
+    } catch (const std::exception& fault) {
+        std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
+        return 1;
+    }
+}
--- a/tests/site.cpp
+++ b/src/lab/site.cpp
@@ -1,6 +1,6 @@
-#include "site.hpp"
+#include "lab/site.hpp"
 
-namespace brasslift::test {
+namespace brasslift::lab {
 namespace {
 
 std::string entry(const SiteHost& host) {
@@ -20,7 +20,7 @@
 std::string site_config(const Site& site) {
     std::string hosts;
     for (const auto& host : site.hosts) hosts += (hosts.empty() ? "" : ",") + entry(host);
-    return "{\"name\":\"n1\",\"discovery\":\"" + site.discovery +
+    return "{\"name\":\"" + site.name + "\",\"discovery\":\"" + site.discovery +
            "\",\"seed\":\"1f\",\"limits\":{\"sockets\":" + std::to_string(site.sockets) +
            ",\"disk_mb\":" + std::to_string(site.disk_mb) +
            "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + hosts +
@@ -42,4 +42,4 @@
            "{\"name\":\"coop\",\"allowance_per_s\":1000.0,\"share\":0.3}]}}";
 }
 
-}  // namespace brasslift::test
+}  // namespace brasslift::lab
--- /dev/null
+++ b/src/lab/site.hpp
@@ -0,0 +1,26 @@
+// The config of a dispatcher that is played with, in the platform's form.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace brasslift::lab {
+
+struct SiteHost {
+    std::string uid, address;
+    int destination = 1;
+    std::string state = "Ready";
+};
+
+struct Site {
+    std::string discovery;
+    std::vector<SiteHost> hosts;
+    int workers = 8, send_cap = 4, most_held = 20, sockets = 256, instances = 3;
+    double disk_mb = 3;
+    std::string name = "n1";
+};
+
+// Classes safe, keyed and payment; tenants acme, bolt and coop.
+std::string site_config(const Site& site);
+
+}  // namespace brasslift::lab
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -40,6 +40,7 @@
     bounds();
     telemetry();
     store();
+    members();
     if (findings_.any_errors()) return std::move(rules_);  // what would be told now might follow from them
     unused();
     overlaps();
--- a/src/lang/compiler.hpp
+++ b/src/lang/compiler.hpp
@@ -119,6 +119,7 @@
 
     void telemetry();
     void store();
+    void members();
     void headers(const v1::Telemetry& t, plan::TelemetryRule& rule);
 
     void unused();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 
 #include "cluster/cluster.hpp"
 #include "commands/config_command.hpp"
+#include "commands/members_command.hpp"
 #include "commands/platform.hpp"
 #include "commands/store_command.hpp"
 #include "config/config.hpp"
@@ -43,6 +44,8 @@
     "usage: brasslift [COMMAND ...]\n"
     "  serve [--operator FILE]   dispatch messages (the default)\n"
     "  config COMMAND ...        check, format, compare and explain operators' files\n"
+    "  members COMMAND ...       who agrees on the rules, and a voter's first folder\n"
+    "  rules COMMAND ...         publish, list, compare and restore the rules that members agree on\n"
     "  check-config [FILE]       read a platform's config as a start would\n"
     "  store COMMAND ...         look into a store, check, compact, copy and restore it\n"
     "  journal [FOLDER]          what a store says is owed\n"
@@ -92,6 +95,8 @@
         });
     }
     if (command == "config") return commands::config(argc, argv);
+    if (command == "members") return commands::members(argc, argv);
+    if (command == "rules") return commands::rules(argc, argv);
     if (command == "store") return commands::store(argc, argv);
     if (command == "version") return std::printf("brasslift %s\n", BRASSLIFT_VERSION) < 0 ? 1 : 0;
     if (command == "check-config")
--- /dev/null
+++ b/src/members/member.hpp
@@ -0,0 +1,160 @@
+// One member whole: its part in the agreement, its leases, publishing (docs/design/members.md). No I/O and no
+// clock: frames, times and the compiler are told, so that the same code runs in the process and in the
+// simulation. Times are milliseconds of a clock that also runs while the machine sleeps. One thread.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "members/consensus.hpp"
+
+namespace brasslift::members {
+
+Id id_of(const std::string& name);
+
+struct Table {
+    std::string cluster;
+    std::vector<Peer> peers;  // all members, this one too
+    double contradiction_ms = 3000;
+};
+constexpr std::size_t most_rules_bytes = 1 << 20;  // of one rule set
+constexpr std::uint32_t format_version = 1;
+
+// Whether this member's program and platform can work with a rule set; empty: they can.
+using Compile = std::function<std::string(const v1::RuleSet&)>;
+
+struct PublishEnd {
+    v1::Came came = v1::UNKNOWN;
+    std::uint64_t version = 0;
+    std::string why;
+};
+
+class Member {
+public:
+    // `self` is one of the table's peers. `takes_part`: false for a voter whose folder was never formed or is
+    // another one than before: it neither votes nor grants.
+    Member(const Table& table, Id self, Journal& journal, Compile compile, std::uint64_t seed,
+           bool takes_part);
+
+    bool form() { return consensus_->form(table_.peers); }
+    // False: `why()` says why the journal cannot be read.
+    bool start(double now);
+    const std::string& why() const { return consensus_->why(); }
+    // At least every 50 ms, and whenever something was told.
+    void tick(double now);
+    void receive(Id from, const v1::Frame& frame, double now);
+    std::vector<std::pair<Id, v1::Frame>> take_outgoing() { return std::exchange(outgoing_, {}); }
+    // Before the process ends: someone else leads from now on, if anybody can.
+    bool pass_on() { return consensus_->pass_on(); }
+
+    // Whether this member may act on that version at this instant.
+    bool may(std::uint64_t version, double now) const { return holder_.may(version, now); }
+    // The version that it is to act on: the latest that it knows to be agreed, can work with and has a lease
+    // for; it never goes back.
+    std::uint64_t acting() const { return acting_; }
+    const v1::Version* version(std::uint64_t number) const { return agreed_.find(number); }
+    const Agreed& agreed() const { return agreed_; }
+    double lease_until() const { return holder_.until(acting_); }
+
+    void publish(v1::Version version, std::uint64_t base, std::function<void(PublishEnd)> told, double now);
+
+    // What this member sees of another one.
+    struct Sight {
+        double heard_at = ages_ago;
+        std::uint64_t acting = 0, applied = 0;
+        std::string trouble;
+    };
+    const std::map<Id, Sight>& sights() const { return sights_; }
+    const Table& table() const { return table_; }
+    Id self() const { return self_; }
+    Id leader() const { return consensus_->leader(); }
+    bool leads() const { return consensus_->leads(); }
+    const Consensus& consensus() const { return *consensus_; }
+    std::uint64_t beginnings() const { return beginnings_; }  // of libraft, after it had given up
+    bool takes_part() const { return takes_part_; }
+    std::uint64_t term() const { return consensus_->term(); }
+    std::uint64_t refused_renewals() const { return refused_renewals_; }
+    const std::string& trouble() const { return trouble_; }
+
+    // Faults that the simulation plants to see that its checker finds them; none in a process.
+    struct Planted {
+        bool grants_always = false, lease_from_answer = false, settles_at_once = false, trusts_echo = false;
+    };
+    void plant(const Planted& planted) {
+        planted_ = planted;
+        consensus_->trust_echo(planted.trusts_echo);
+    }
+
+private:
+    void send(Id to, v1::Frame frame);
+    void on(Id from, const v1::Renew& renew);
+    void on(Id from, const v1::Renewed& renewed);
+    void on(Id from, const v1::Publishing& publishing);
+    void on(Id from, const v1::Published& published);
+    void on(Id from, const v1::Check& check);
+    void on(Id from, const v1::Checked& checked);
+    void move();
+    void begin_again();
+    void look_for_versions();
+    void renew();
+    void settle();
+    void work_off();
+    void begin_check();
+    void propose();
+    void ask_leader();
+    void answer(Id to, const std::string& ticket, const PublishEnd& end);
+    void end_job(const PublishEnd& end);
+    bool is_voter(Id id) const { return voters_.count(id) != 0; }
+    std::set<Id> ids() const;
+
+    Table table_;
+    Id self_;
+    std::set<Id> voters_;
+    std::map<Id, std::string> names_;
+    Terms terms_;
+    Compile compile_;
+    bool takes_part_;
+    std::uint64_t nonce_;  // of this life
+    Agreed agreed_;
+    Journal& journal_;
+    std::unique_ptr<Consensus> consensus_;
+    Holder holder_;
+    Settling settling_;
+    double now_ = 0, next_renewal_ = 0, next_settle_ = 0, next_beginning_ = 0;
+    std::uint64_t beginnings_ = 0;
+    std::uint64_t acting_ = 0, asked_for_ = 0;
+    std::uint64_t judged_ = 0;  // the latest version that was compiled here, well or not
+    std::string trouble_;       // why it cannot work with the latest
+    std::uint64_t refused_renewals_ = 0;
+    std::map<Id, Sight> sights_;
+    std::vector<std::pair<Id, v1::Frame>> outgoing_;
+
+    // This member's own publishes, on their way; by ticket.
+    struct Asked {
+        v1::Publishing publishing;
+        std::function<void(PublishEnd)> told;
+        double until = 0, next_try = 0;
+        bool sent = false;
+        std::optional<PublishEnd> end;
+    };
+    std::map<std::string, Asked> asked_;
+    // The leader's one publish that is being worked off, and those that wait.
+    struct Job {
+        Id from = 0;
+        v1::Publishing publishing;
+        double until = 0;
+        bool checks = false, proposed = false;
+        std::set<Id> waits_for;
+        double check_until = 0;
+    };
+    std::optional<Job> job_;
+    std::vector<Job> jobs_;
+    Planted planted_;
+};
+
+}  // namespace brasslift::members
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -116,6 +116,18 @@
     bool compress = false;
 };
 
+// The dispatchers that agree on rules; absent: this one acts alone.
+struct MembersRule {
+    struct Member {
+        std::string name, address;
+        bool voter = false;
+    };
+    std::string cluster;
+    std::vector<Member> members;
+    double contradiction_ms = 3000;
+    bool refuse_routes = true, refuse_limits = true, refuse_policies = false;  // without a lease
+    bool synced = false;
+};
 struct Rules {
     std::vector<PoolRule> pools;
     std::vector<RouteRule> routes;
@@ -124,6 +136,7 @@
     Bounds bounds;
     std::optional<TelemetryRule> telemetry;
     StoreRule store;
+    std::optional<MembersRule> members;
     bool json_log = false;
 };
 
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -6,6 +6,7 @@
 
 #include "admin/figures.hpp"
 #include "commands/platform.hpp"
+#include "members/setup.hpp"
 #include "runtime/log.hpp"
 
 namespace brasslift::serve {
@@ -17,8 +18,6 @@
 constexpr double untold_ms = 3600;
 // The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
 constexpr double fresh_list_ms = 100;
-// The folder's limit counts in millions of bytes here; the store stays well under it.
-constexpr double disk_share = 0.8;
 
 std::size_t part_of(double whole, double part) { return static_cast<std::size_t>(whole * part); }
 
@@ -49,7 +48,9 @@
 store::Options store_options(const config::Config& config, const std::shared_ptr<const plan::Plan>& plan) {
     const auto rule = plan ? plan->rules().store : plan::StoreRule{};
     store::Options options;
-    options.budget = static_cast<std::uint64_t>(config.disk_mb * 1e6 * disk_share);
+    // The folder's limit counts in millions of bytes here; the stores stay well under it.
+    options.budget = static_cast<std::uint64_t>(config.disk_mb * 1e6 * members::folder_share);
+    if (plan && plan->rules().members) options.budget -= members::budget_of(config.disk_mb * 1e6);
     options.durability = rule.durability == plan::StoreRule::Durability::none   ? store::Durability::none
                          : rule.durability == plan::StoreRule::Durability::each ? store::Durability::each
                                                                                 : store::Durability::interval;
@@ -95,7 +96,11 @@
                               if (drains) server_.drain();
                               return drains;
                           },
-                          [this] { return lifecycle_.undrain(); }, [this] { return figures(); }}),
+                          [this] { return lifecycle_.undrain(); }, [this] { return figures(); },
+                          [this] { return membership_ ? membership_->note() : std::string(); },
+                          plan_ && plan_->rules().members
+                              ? [this](const http::Message& request) { return answer_members(request); }
+                              : std::function<runtime::Task<admin::Reply>(const http::Message&)>()}),
       watch_({scheduler_, config_, dispatcher_, ledger_, store_, server_, pool_}, version),
       heir_waker_(scheduler_) {
     connect_parts();
@@ -140,6 +145,10 @@
 void Life::begin() {
     watch_.follow(plan_ ? &plan_->rules() : nullptr);
     if (store_.options().durability != store::Durability::none) dispatcher_.sync_by(&syncs_);
+    if (plan_ && plan_->rules().members) {
+        membership_ = std::make_unique<Membership>(scheduler_, config_, *plan_->rules().members, dispatcher_);
+        membership_->begin();
+    }
     const bool resumes = taken_ != nullptr;
     resumes ? resume() : start_anew();
     scheduler_.spawn(keeper_.run());
@@ -147,7 +156,8 @@
     scheduler_.spawn(notices_.run());
     scheduler_.spawn(server_.run());
     scheduler_.spawn(until_stopped());
-    await_successor();
+    // A member's folder is one process's until its end: the next one recovers.
+    if (!membership_) await_successor();
     runtime::log("main", "%s serves %s; %zu messages were %s", config_.name.c_str(), config_.listen.c_str(),
                  ledger_.held(), resumes ? "handed over" : "owed");
 }
@@ -162,7 +172,7 @@
     for (const Time until = scheduler_.now() + fresh_list_ms;
          !cluster_.heard() && runtime::steady_now() < until;)
         scheduler_.run_until(runtime::steady_now() + 2);
-    if (plan_) dispatcher_.plan_by(plan_);
+    if (plan_ && !membership_) dispatcher_.plan_by(plan_);
     dispatcher_.recover(first);
     lifecycle_.begin();  // all that is owed is known; connections that came meanwhile wait in the queue
 }
@@ -184,8 +194,20 @@
     return remains;
 }
 
+runtime::Task<admin::Reply> Life::answer_members(const http::Message& request) {
+    admin::Reply reply;
+    reply.status = 503;  // not yet
+    if (membership_) {
+        auto answering = membership_->answer(request);
+        reply = co_await answering;
+    }
+    co_return reply;
+}
+
 std::string Life::figures() const {
-    return admin::statsd({config_.classes, dispatcher_.figures(), pool_.written(), ledger_.held(),
+    const auto of_members = membership_ ? membership_->figures() : std::string();
+    return of_members +
+           admin::statsd({config_.classes, dispatcher_.figures(), pool_.written(), ledger_.held(),
                           cluster_.listed(), dispatcher_.avoided(), configs_taken_, configs_refused_});
 }
 
@@ -204,7 +226,8 @@
         server_.limit(downstream_limits(fresh, bounds_of(plan)));
         pool_.keep_at_most(idle_limit(fresh, bounds_of(plan)));
         if (!operators_.empty()) watch_.follow(&plan->rules());
-        if (plan) dispatcher_.mailbox().put(dispatch::Planned{std::move(plan)});
+        // With members, the rules are theirs.
+        if (plan && !membership_) dispatcher_.mailbox().put(dispatch::Planned{std::move(plan), 0});
         if (fresh.classes != config_.classes || fresh.tenants != config_.tenants ||
             fresh.listen != config_.listen)
             runtime::log("main", "classes, customers and the address served change at the next start only");
@@ -225,6 +248,7 @@
     const Time told = scheduler_.now();
     runtime::log("main", "told to stop: %zu messages are owed", ledger_.held());
     lifecycle_.stop();
+    if (membership_) membership_->pass_on();
     watch_.hurry(told + untold_ms, false);
     dispatcher_.mailbox().put(dispatch::Stop{told + last_call_ms});
     co_await runtime::sleep_until(scheduler_, told + take_on_ms);
--- a/src/serve/life.hpp
+++ b/src/serve/life.hpp
@@ -17,6 +17,7 @@
 #include "handover/decide.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "runtime/scheduler.hpp"
+#include "serve/members.hpp"
 #include "serve/shell.hpp"
 #include "serve/signals.hpp"
 #include "state/luggage.hpp"
@@ -69,6 +70,7 @@
     void reload();
     runtime::Task<void> until_stopped();
     std::string figures() const;
+    runtime::Task<admin::Reply> answer_members(const http::Message& request);
 
     std::string operators_;
     config::Config config_;
@@ -90,6 +92,7 @@
     downstream::Server server_;
     admin::Server admin_;
     commands::Watch watch_;
+    std::unique_ptr<Membership> membership_;  // none: it acts alone
     runtime::Waker heir_waker_;
     runtime::Socket heir_listener_;
     runtime::Descriptor heir_;  // a process that asks to take over
--- a/src/telemetry/recorder.cpp
+++ b/src/telemetry/recorder.cpp
@@ -27,6 +27,7 @@
         case Refusal::nowhere: return "nowhere";
         case Refusal::conflict: return "conflict";
         case Refusal::gone: return "client_gone";
+        case Refusal::lease: return "lease";
     }
     return "";
 }
--- /dev/null
+++ b/tests/members_world.cpp
@@ -0,0 +1,380 @@
+#include "members_world.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace brasslift::test {
+namespace {
+
+using namespace members;
+
+constexpr double step_ms = 10;
+
+// Outlasts its member's kills. A write that is cut is no write.
+class MemoryJournal : public Journal {
+public:
+    bool load(Saved& into) override {
+        into.vote = vote_;
+        into.snapshot = snapshot_;
+        into.first = entries_.empty() ? (snapshot_ ? snapshot_->index() + 1 : 1) : entries_.begin()->first;
+        into.entries.clear();
+        for (const auto& [index, entry] : entries_) into.entries.push_back(entry);
+        return true;
+    }
+    bool put_vote(const members::v1::Vote& vote) override {
+        vote_ = vote;
+        return true;
+    }
+    bool append(std::uint64_t index, const std::vector<members::v1::Entry>& added) override {
+        if (full) return false;
+        for (const auto& entry : added) entries_[index++] = entry;
+        return true;
+    }
+    bool truncate(std::uint64_t index) override {
+        entries_.erase(entries_.lower_bound(index), entries_.end());
+        return true;
+    }
+    bool put_snapshot(const members::v1::Snapshot& snapshot, std::uint64_t trailing) override {
+        if (full) return false;
+        snapshot_ = snapshot;
+        if (trailing == 0)
+            entries_.clear();
+        else if (snapshot.index() > trailing)
+            entries_.erase(entries_.begin(), entries_.upper_bound(snapshot.index() - trailing));
+        return true;
+    }
+    std::optional<members::v1::Snapshot> snapshot() override { return snapshot_; }
+    bool full = false;
+
+private:
+    members::v1::Vote vote_;
+    std::optional<members::v1::Snapshot> snapshot_;
+    std::map<std::uint64_t, members::v1::Entry> entries_;
+};
+
+class World {
+public:
+    explicit World(const WorldPlan& plan) : plan_(plan), random_(plan.seed) {
+        table_.cluster = "world";
+        table_.contradiction_ms = plan.contradiction_ms;
+        for (int i = 0; i < plan.voters + plan.others; ++i) {
+            const auto name = "n" + std::to_string(i);
+            table_.peers.push_back({id_of(name), name, i < plan.voters});
+        }
+        for (const auto& peer : table_.peers) {
+            auto& one = all_[peer.id];
+            one.name = peer.name;
+            one.voter = one.formed = peer.voter;
+            one.rate = 1 + (part() - 0.5) * clock_error;
+            one.offset = part() * 1e6;
+            one.journal = std::make_unique<MemoryJournal>();
+            ids_.push_back(peer.id);
+            if (peer.voter) {
+                Agreed agreed;
+                Consensus(peer.id, peer.name, *one.journal, agreed, 1).form(table_.peers);
+            }
+            start(one, peer.id);
+        }
+    }
+
+    WorldEnd run() {
+        double next_publish = 2500, next_fault = 1500;
+        const double healed_ms = plan_.faults_ms, end_ms = healed_ms + 15000;
+        for (now_ = 0; now_ < end_ms && end_.broken.empty(); now_ += step_ms) {
+            if (now_ < healed_ms && now_ >= next_publish) {
+                publish();
+                next_publish = now_ + plan_.publish_every_ms * (0.2 + 1.6 * part());
+            }
+            if (plan_.faults && now_ < healed_ms && now_ >= next_fault) {
+                fault();
+                next_fault = now_ + 200 + 1500 * part();
+            }
+            if (plan_.cut_in_turn_ms > 0 && now_ < healed_ms && now_ >= next_cut_) {
+                // Of those that have no vote, and the next one before the one before is back.
+                next_cut_ = now_ + 0.75 * plan_.cut_in_turn_ms;
+                const auto at = static_cast<std::size_t>(plan_.voters + end_.cuts++ % plan_.others);
+                lonely_[ids_[at]] = now_ + plan_.cut_in_turn_ms;
+                say(all_[ids_[at]].name + " is cut off");
+            }
+            if (now_ >= healed_ms && !healed_) heal();
+            deliver();
+            for (const auto id : ids_) turn(id);
+            judge();
+        }
+        if (end_.broken.empty()) judge_end();
+        return std::move(end_);
+    }
+
+private:
+    struct One {
+        std::string name;
+        bool voter = false, formed = false;
+        double rate = 1, offset = 0;
+        double stopped_until = 0, down_until = 0;
+        int lives = 0;
+        std::unique_ptr<MemoryJournal> journal;
+        std::unique_ptr<Member> member;
+        std::vector<std::pair<Id, members::v1::Frame>> waiting;  // that came while it was stopped
+        double clock(double now) const { return offset + now * rate; }
+    };
+    struct Way {
+        double at = 0;
+        std::uint64_t order = 0;
+        Id from = 0, to = 0;
+        std::shared_ptr<members::v1::Frame> frame;
+        bool operator<(const Way& other) const {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    double part() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+    One& any() { return all_[ids_[random_() % ids_.size()]]; }
+
+    void start(One& one, Id id) {
+        one.member = std::make_unique<Member>(
+            table_, id, *one.journal, [](const members::v1::RuleSet&) { return std::string(); },
+            plan_.seed * 1000003 + id + static_cast<std::uint64_t>(++one.lives), !one.voter || one.formed);
+        one.member->plant(plan_.planted);
+        if (!one.member->start(one.clock(now_))) end_.broken = one.name + " does not start";
+        ship(one, id);
+    }
+
+    void say(const std::string& what) {
+        history_.push_back(std::to_string(static_cast<long>(now_)) + ": " + what);
+        if (history_.size() > 60) history_.erase(history_.begin());
+    }
+    void broken(const std::string& what) {
+        if (!end_.broken.empty()) return;
+        end_.broken = what + " (seed " + std::to_string(plan_.seed) + ")";
+        for (const auto& line : history_) end_.broken += "\n  " + line;
+    }
+
+    void ship(One& one, Id id) {
+        for (auto& [to, frame] : one.member->take_outgoing()) {
+            ++end_.frames;
+            if (cuts_.count({id, to}) != 0 || now_ < lonely_[id] || now_ < lonely_[to] ||
+                part() < plan_.loss * (healed_ ? 0 : 1))
+                continue;
+            const auto shared = std::make_shared<members::v1::Frame>(std::move(frame));
+            end_.bytes += shared->ByteSizeLong();
+            const int times = part() < plan_.twice ? 2 : 1;
+            for (int i = 0; i < times; ++i) {
+                const double slow = part() < 0.01 && !healed_ ? 50 : 1;
+                ways_.push({now_ + 0.1 + part() * plan_.slowest_ms * slow, ++order_, id, to, shared});
+            }
+        }
+    }
+
+    void deliver() {
+        while (!ways_.empty() && ways_.top().at <= now_) {
+            const auto way = ways_.top();
+            ways_.pop();
+            auto& to = all_[way.to];
+            if (!to.member) continue;
+            if (now_ < to.stopped_until) {
+                if (to.waiting.size() < 200) to.waiting.emplace_back(way.from, *way.frame);
+                continue;
+            }
+            to.member->receive(way.from, *way.frame, to.clock(now_));
+            ship(to, way.to);
+        }
+    }
+
+    void turn(Id id) {
+        auto& one = all_[id];
+        if (!one.member && now_ >= one.down_until) start(one, id);
+        if (!one.member || now_ < one.stopped_until) return;
+        // Whoever wakes first does what lies before it: it acts, by its clock, before it hears anything.
+        act(one);
+        for (auto& [from, frame] : std::exchange(one.waiting, {}))
+            one.member->receive(from, frame, one.clock(now_));
+        one.member->tick(one.clock(now_));
+        ship(one, id);
+        act(one);
+    }
+
+    // As a message that is handed in now would be answered.
+    void act(One& one) {
+        const auto version = one.member->acting();
+        if (one.member->may(version, one.clock(now_))) acts_.insert(version);
+    }
+
+    void publish() {
+        auto& one = any();
+        if (!one.member || now_ < one.stopped_until) return;
+        members::v1::Version version;
+        const auto number = ++published_;
+        version.set_ticket("t" + std::to_string(number));
+        version.set_who(one.name);
+        auto* const file = version.mutable_rules()->add_file();
+        file->set_path("rules");
+        file->set_text("rules " + std::to_string(number) + std::string(random_() % 2000, 'x'));
+        version.set_digest(digest_of(version.rules()));
+        const auto digest = version.digest();
+        const double from = now_;
+        const auto id = id_of(one.name);
+        say(one.name + " publishes " + version.ticket());
+        one.member->publish(
+            std::move(version), one.member->agreed().current(),
+            [this, digest, from, number](PublishEnd end) {
+                say("t" + std::to_string(number) + " came to " + std::to_string(end.came) + ", version " +
+                    std::to_string(end.version) + ' ' + end.why);
+                end_.refused += end.came == members::v1::REFUSED ? 1 : 0;
+                end_.unknown += end.came == members::v1::UNKNOWN ? 1 : 0;
+                if (end.came != members::v1::DONE) return;
+                ++end_.published;
+                end_.publish_ms.push_back(now_ - from);
+                promised_[end.version] = digest;
+                switching_[end.version] = from;
+            },
+            one.clock(now_));
+        ship(one, id);
+    }
+
+    void fault() {
+        auto& one = any();
+        const auto id = id_of(one.name);
+        switch (random_() % 6) {
+            case 0:
+                if (!one.member) return;
+                one.member.reset();
+                one.waiting.clear();
+                one.down_until = now_ + 5000 * part();
+                ++end_.kills;
+                say(one.name + " is killed");
+                // With a majority of folders lost nobody can agree on anything again; that is no fault to
+                // find.
+                if (plan_.wipes && one.formed && wiped_ < (plan_.voters - 1) / 2 && random_() % 3 == 0) {
+                    ++wiped_;
+                    one.journal = std::make_unique<MemoryJournal>();
+                    one.formed = false;
+                    say(one.name + " lost its folder");
+                }
+                return;
+            case 1:
+                one.stopped_until = now_ + 8000 * part();
+                ++end_.stops;
+                return say(one.name + " is stopped");
+            case 2:
+            case 3: {
+                const auto other = ids_[random_() % ids_.size()];
+                cuts_.insert({id, other});
+                ++end_.cuts;
+                return say(one.name + " is not heard by " + all_[other].name);
+            }
+            case 4:
+                for (const auto other : ids_)
+                    if (random_() % 2 == 0) {
+                        cuts_.insert({id, other});
+                        if (random_() % 2 == 0) cuts_.insert({other, id});
+                    }
+                ++end_.cuts;
+                return say(one.name + " is cut off from some");
+            default: cuts_.clear(); return say("links are whole");
+        }
+    }
+
+    void heal() {
+        healed_ = true;
+        cuts_.clear();
+        for (auto& [id, one] : all_) {
+            one.stopped_until = 0;
+            one.down_until = 0;
+        }
+        say("healed");
+    }
+
+    void judge() {
+        const bool contradicts = acts_.size() > 1;
+        if (contradicts && since_ < 0) since_ = now_;
+        if (contradicts) {
+            const double lasted = now_ - since_;
+            end_.longest_contradiction_ms = std::max(end_.longest_contradiction_ms, lasted);
+            if (lasted > plan_.contradiction_ms) {
+                std::string versions;
+                for (const auto version : acts_) versions += ' ' + std::to_string(version);
+                broken("versions" + versions + " are acted on for " + std::to_string(lasted) + " ms");
+            }
+        } else if (!acts_.empty()) {
+            since_ = -1;
+        }
+        acts_.clear();
+        // Two members that have applied different entries find out when one hears of the other's.
+        for (const auto& [id, one] : all_)
+            if (one.member && one.member->beginnings() > 0)
+                broken(one.name + "'s log contradicts what it had taken for agreed");
+        for (const auto& [id, one] : all_) {
+            if (!one.member) continue;
+            for (const auto& [number, version] : one.member->agreed().versions()) {
+                const auto [at, fresh] = digests_.emplace(number, version.digest());
+                if (!fresh && at->second != version.digest())
+                    broken("version " + std::to_string(number) + " has two contents");
+            }
+        }
+        for (const auto& [number, digest] : promised_)
+            if (const auto found = digests_.find(number); found != digests_.end() && found->second != digest)
+                broken("version " + std::to_string(number) + " is not what its publisher was told");
+        for (auto at = switching_.begin(); at != switching_.end();) {
+            const bool everywhere = std::all_of(all_.begin(), all_.end(), [&](const auto& each) {
+                return each.second.member && each.second.member->acting() >= at->first;
+            });
+            if (everywhere) end_.switch_ms.push_back(now_ - at->second);
+            at = everywhere ? switching_.erase(at) : std::next(at);
+        }
+    }
+
+    std::string said() const {
+        std::string text;
+        for (const auto& [id, one] : all_) {
+            const auto leader = all_.find(one.member->leader());
+            text +=
+                "; " + one.name + (one.member->takes_part() ? "" : " (no voice)") + " knows " +
+                std::to_string(one.member->agreed().current()) + ", term " +
+                std::to_string(one.member->term()) +
+                (one.member->consensus().given_up() ? " (given up: " + one.member->consensus().fault() + ")"
+                                                    : std::string()) +
+                ", led by " + (leader == all_.end() ? "nobody" : leader->second.name);
+        }
+        return text;
+    }
+
+    // Healed for a while: everybody who has a voice or needs none acts on what was agreed last.
+    void judge_end() {
+        std::uint64_t latest = promised_.empty() ? 0 : promised_.rbegin()->first;
+        for (const auto& [id, one] : all_) latest = std::max(latest, one.member->agreed().current());
+        for (const auto& [id, one] : all_) {
+            if (one.voter && !one.formed) continue;
+            if (one.member->acting() != latest || !one.member->may(latest, one.clock(now_)))
+                broken(one.name + " acts on " + std::to_string(one.member->acting()) + ", not on " +
+                       std::to_string(latest) + said());
+        }
+    }
+
+    WorldPlan plan_;
+    std::mt19937_64 random_;
+    Table table_;
+    std::map<Id, One> all_;
+    std::vector<Id> ids_;
+    std::priority_queue<Way> ways_;
+    std::uint64_t order_ = 0;
+    std::set<std::pair<Id, Id>> cuts_;
+    std::map<Id, double> lonely_;  // cut off until
+    std::set<std::uint64_t> acts_;
+    double now_ = 0, since_ = -1, next_cut_ = 2000;
+    bool healed_ = false;
+    int published_ = 0, wiped_ = 0;
+    std::map<std::uint64_t, std::string> digests_, promised_;
+    std::map<std::uint64_t, double> switching_;
+    std::vector<std::string> history_;
+    WorldEnd end_;
+};
+
+}  // namespace
+
+WorldEnd play_world(const WorldPlan& plan) { return World(plan).run(); }
+
+}  // namespace brasslift::test
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -1,25 +1,12 @@
-// The config of a dispatcher under test, in the platform's form.
+// The lab's configs, under the tests' own names.
 #pragma once
 
-#include <string>
-#include <vector>
+#include "lab/site.hpp"
 
 namespace brasslift::test {
 
-struct SiteHost {
-    std::string uid, address;
-    int destination = 1;
-    std::string state = "Ready";
-};
-
-struct Site {
-    std::string discovery;
-    std::vector<SiteHost> hosts;
-    int workers = 8, send_cap = 4, most_held = 20, sockets = 256, instances = 3;
-    double disk_mb = 3;
-};
-
-// Classes safe, keyed and payment; tenants acme, bolt and coop.
-std::string site_config(const Site& site);
+using lab::Site;
+using lab::site_config;
+using lab::SiteHost;
 
 }  // namespace brasslift::test
