--- a/src/commands/members_command.cpp
+++ b/src/commands/members_command.cpp
@@ -185,7 +185,7 @@
         std::fprintf(stderr, "the operators' file has no members section that can be worked with\n");
         return refused;
     }
-    const auto table = members::table_of(*rules.members);
+    const auto table = members::table_of(*rules.members, 0);
     const auto self = members::id_of(name);
     const auto voter = std::any_of(table.peers.begin(), table.peers.end(),
                                    [&](const auto& peer) { return peer.id == self && peer.voter; });
--- a/src/lab/account.cpp
+++ b/src/lab/account.cpp
@@ -13,6 +13,7 @@
     auto& message = messages_[id];
     message.dispatcher = at;
     message.payment = payment;
+    message.handed_at = now;
     say(message, "handed in at " + at, now);
 }
 
@@ -25,6 +26,7 @@
 
 void Account::called(const std::string& id, double now) {
     auto& message = messages_[id];
+    if (message.calls == 0) delivery_ms_.push_back(now - message.handed_at);
     ++message.calls;
     ++message.unknown;
     say(message, "call", now);
--- a/src/lab/account.hpp
+++ b/src/lab/account.hpp
@@ -25,6 +25,8 @@
 
     // Messages that were taken on and have no end yet.
     std::size_t open() const;
+    // From each message's hand-in to its first call at a partner, ms.
+    const std::vector<double>& delivery_ms() const { return delivery_ms_; }
     std::size_t taken() const { return taken_; }
     std::size_t turned_away() const { return turned_away_; }
     std::size_t acts() const { return acts_.size(); }
@@ -40,6 +42,7 @@
     struct Message {
         std::string dispatcher;
         bool payment = false;
+        double handed_at = 0;
         int status = 0, calls = 0, done = 0, unknown = 0;
         std::set<std::string> endings;
         std::vector<std::string> history;
@@ -54,6 +57,7 @@
     std::map<std::string, Message> messages_;
     std::vector<Act> acts_;
     std::vector<std::string> notes_;
+    std::vector<double> delivery_ms_;
     std::size_t taken_ = 0, turned_away_ = 0;
 };
 
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -78,17 +78,24 @@
     site.most_held = 2000;
     site.sockets = 512;
     site.disk_mb = plan_.disk_mb;
+    site.has_coop = at != plan_.without_coop;
     std::ofstream(me.folder + "/config.json") << site_config(site);
-    std::ofstream out(me.folder + "/operator.textproto");
+    std::ofstream(me.folder + "/operator.textproto") << operators_file(at, me.member);
+}
+
+std::string Fleet::operators_file(int at, std::uint16_t own_port) const {
+    if (!plan_.members) return "bounds { head: \"16KiB\" }\n";
+    std::ostringstream out;
     out << "members {\n  cluster: \"lab\"\n  contradiction: \"" << static_cast<int>(plan_.contradiction_ms)
         << "ms\"\n";
     if (!plan_.leases) out << "  without_lease { routes: KEEP limits: KEEP policies: KEEP }\n";
     for (int i = 0; i < plan_.dispatchers; ++i) {
-        const auto port = i == at ? me.member : link(at, i).port();
+        const auto port = i == at ? own_port : link(at, i).port();
         out << "  member { name: \"" << one(i).name << "\" address: \"" << local_text(port)
             << "\" voter: " << (i < plan_.voters ? "ON" : "OFF") << " }\n";
     }
     out << "}\n";
+    return out.str();
 }
 
 std::map<std::string, std::string> Fleet::environment(const One& me) const {
@@ -104,6 +111,7 @@
 void Fleet::say(const std::string& what) { account_.note(what, now()); }
 
 void Fleet::form_all() {
+    if (!plan_.members) return;
     for (int i = 0; i < plan_.voters; ++i) {
         const auto& me = one(i);
         const int came =
@@ -114,16 +122,37 @@
     }
 }
 
-void Fleet::start(int at) {
+void Fleet::start(int at, std::uint64_t most_file_bytes) {
     auto& me = one(at);
     if (me.process.running()) return;
     if (!me.process.start({plan_.program, "serve", "--operator", me.folder + "/operator.textproto"},
-                          environment(me), me.folder + "/log"))
+                          environment(me), me.folder + "/log", most_file_bytes))
         throw std::runtime_error("no process can be started");
     me.stopped = false;
     say(me.name + " started");
 }
 
+void Fleet::start_double(int at) {
+    const auto folder = folder_ + "/double";
+    fs::create_directories(folder + "/state");
+    std::ofstream(folder + "/operator.textproto") << operators_file(at, free_port());
+    auto told = environment(one(at));
+    told["PROXY_STATE"] = folder + "/state";
+    told["PROXY_LISTEN"] = local_text(free_port());
+    told["PROXY_ADMIN"] = local_text(free_port());
+    told["TMPDIR"] = folder;
+    double_ = std::make_unique<Process>();
+    double_->start({plan_.program, "serve", "--operator", folder + "/operator.textproto"}, told,
+                   folder + "/log");
+}
+
+std::string Fleet::log_of_double() const {
+    std::ifstream in(folder_ + "/double/log");
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
 void Fleet::kill(int at) {
     one(at).process.kill();
     ++end_.kills;
@@ -195,24 +224,52 @@
     }
 }
 
-runtime::Task<void> Fleet::ask(int at, std::string request, double patience_ms,
+runtime::Task<void> Fleet::ask(std::uint16_t port, std::string request, double patience_ms,
                                std::shared_ptr<http::Message> into, std::shared_ptr<bool> done) {
-    auto asking = ask_once(scheduler_, local(one(at).admin), std::move(request), patience_ms);
+    auto asking = ask_once(scheduler_, local(port), std::move(request), patience_ms);
     *into = co_await asking;
     *done = true;
 }
 
-http::Message Fleet::call(int at, const std::string& method, const std::string& target,
-                          const std::string& body, double patience_ms) {
+http::Message Fleet::call_address(std::uint16_t port, std::string request, double patience_ms) {
     const auto into = std::make_shared<http::Message>();
     const auto done = std::make_shared<bool>(false);
-    scheduler_.spawn(
-        ask(at, http::write_request(method, target, {{"Host", "lab"}}, body), patience_ms, into, done));
+    scheduler_.spawn(ask(port, std::move(request), patience_ms, into, done));
     const double until = runtime::steady_now() + patience_ms + 100;
-    while (!*done && runtime::steady_now() < until) run_for(5);
+    while (!*done && runtime::steady_now() < until) run_for(2);
     return *into;
 }
 
+http::Message Fleet::call(int at, const std::string& method, const std::string& target,
+                          const std::string& body, double patience_ms) {
+    return call_address(one(at).admin, http::write_request(method, target, {{"Host", "lab"}}, body),
+                        patience_ms);
+}
+
+http::Message Fleet::call_member(int at, const std::string& target, const std::string& body) {
+    return call_address(one(at).member, http::write_request("POST", target, {{"Host", "lab"}}, body), 1000);
+}
+
+double Fleet::cpu_ms(int at) {
+    std::ifstream in("/proc/" + std::to_string(one(at).process.id()) + "/schedstat");
+    double nanoseconds = 0;
+    in >> nanoseconds;
+    return nanoseconds / 1e6;
+}
+
+long Fleet::resident_kb(int at) {
+    std::ifstream in("/proc/" + std::to_string(one(at).process.id()) + "/status");
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+    return 0;
+}
+
+std::uint64_t Fleet::member_bytes() const {
+    std::uint64_t bytes = 0;
+    for (const auto& [ends, each] : links_) bytes += each->bytes();
+    return bytes;
+}
+
 http::Message Fleet::publish(int at, const std::string& rules) {
     members::v1::RuleSet set;
     auto* const file = set.add_file();
@@ -292,7 +349,7 @@
     return reply;
 }
 
-std::string Fleet::message(int, int destination, const char* kind, const std::string& id) const {
+std::string Fleet::message(int destination, const char* kind, const std::string& id) const {
     return http::write_request("POST", std::string("/") + kind,
                                {{"Req-Id", id},
                                 {"Req-Owner", "acme"},
@@ -314,7 +371,7 @@
         const char* const kind = probes ? "safe" : kinds[turn / 2 % 3];
         const double sent = now();
         account_.handed_in(id, one(at).name, std::string_view(kind) == "payment", sent);
-        auto request = message(next_message_, probes ? probed : served, kind, id);
+        auto request = message(probes ? probed : served, kind, id);
         auto asking = ask_once(scheduler_, local(one(at).port), std::move(request), 400);
         const auto answer = co_await asking;
         account_.answered(id, answer.status, now());
@@ -328,22 +385,11 @@
 }
 
 int Fleet::probe(int at) {
-    const auto id = "p" + std::to_string(next_message_++);
-    const auto done = std::make_shared<bool>(false);
-    const auto into = std::make_shared<http::Message>();
-    auto request = message(0, probed, "safe", id);
-    const auto act = [](Fleet& fleet, int who, std::string text, std::shared_ptr<http::Message> answer,
-                        std::shared_ptr<bool> ended) -> runtime::Task<void> {
-        auto asking = ask_once(fleet.scheduler_, local(fleet.one(who).port), std::move(text), 1000);
-        *answer = co_await asking;
-        *ended = true;
-    };
-    scheduler_.spawn(act(*this, at, std::move(request), into, done));
-    while (!*done) run_for(5);
-    if (into->status == 202) return 0;
-    const auto* const pause = into->headers.find("Retry-After");
-    if (into->status == 429 && pause != nullptr) return std::atoi(pause->c_str());
-    return -1;
+    const auto answer =
+        call_address(one(at).port, message(probed, "safe", "p" + std::to_string(next_message_++)), 1000);
+    if (answer.status == 202) return 0;
+    const auto* const pause = answer.headers.find("Retry-After");
+    return answer.status == 429 && pause != nullptr ? std::atoi(pause->c_str()) : -1;
 }
 
 runtime::Task<void> Fleet::publisher() {
@@ -415,10 +461,14 @@
     }
 }
 
+void Fleet::start_clients() {
+    for (int i = 0; i < plan_.dispatchers; ++i) scheduler_.spawn(client(i));
+}
+
 FleetEnd Fleet::play(const std::function<void(Fleet&)>& watch) {
     form_all();
     for (int i = 0; i < plan_.dispatchers; ++i) start(i);
-    for (int i = 0; i < plan_.dispatchers; ++i) scheduler_.spawn(client(i));
+    start_clients();
     publishing_ = true;
     scheduler_.spawn(publisher());
     double next_fault = 2500, next_watch = 0;
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -31,7 +31,8 @@
     bool wipes = false;
     double disk_mb = 40;
     bool keep_folder = false;
-    bool keeps_logs = false;
+    bool members = true;    // false: each acts alone, without rules
+    int without_coop = -1;  // this one's platform has a tenant fewer than the others'
 };
 
 struct FleetEnd {
@@ -54,7 +55,11 @@
     FleetEnd play(const std::function<void(Fleet&)>& watch = {});
 
     // For scripts: each takes effect at once.
-    void start(int at);
+    // `most_file_bytes`: a disk that is full sooner; 0: none.
+    void start(int at, std::uint64_t most_file_bytes = 0);
+    // A second process of that name, on a folder and addresses of its own; what it logged until now.
+    void start_double(int at);
+    std::string log_of_double() const;
     void form_all();
     void kill(int at);
     void term(int at);
@@ -70,6 +75,8 @@
     // An operators' call; status 0: nobody answered.
     http::Message call(int at, const std::string& method, const std::string& target,
                        const std::string& body = "", double patience_ms = 13000);
+    // A call at the address for members.
+    http::Message call_member(int at, const std::string& target, const std::string& body);
     http::Message publish(int at, const std::string& rules);
     // Rules by which a client of the rig sees which version it was answered by.
     static std::string rules_of(int number);
@@ -82,11 +89,16 @@
     const std::string& folder() const { return folder_; }
     std::string log_of(int at) const;
     Account& account() { return account_; }
+    void start_clients();
     void clients(bool on) { clients_on_ = on; }
     // What a message to the probed destination is answered by that dispatcher; -1: nothing.
     int probe(int at);
     FleetEnd verdict();
     const FleetEnd& so_far() const { return end_; }
+    // Processor time used so far and memory resident, of one dispatcher; bytes between members of all links.
+    double cpu_ms(int at);
+    long resident_kb(int at);
+    std::uint64_t member_bytes() const;
     double now() const { return runtime::steady_now() - begun_; }
 
 private:
@@ -99,16 +111,20 @@
         double down_until = 0, stopped_until = 0;
     };
     One& one(int at) { return *all_[static_cast<std::size_t>(at)]; }
+    const One& one(int at) const { return *all_[static_cast<std::size_t>(at)]; }
     Link& link(int from, int to) { return *links_.at({from, to}); }
+    const Link& link(int from, int to) const { return *links_.at({from, to}); }
     std::map<std::string, std::string> environment(const One& one) const;
     void write_files(int at);
+    std::string operators_file(int at, std::uint16_t own_port) const;
+    http::Message call_address(std::uint16_t port, std::string request, double patience_ms);
     Party::Reply partner(const http::Message& request);
     Party::Reply discovery(const http::Message& request);
     runtime::Task<void> client(int at);
     runtime::Task<void> publisher();
-    runtime::Task<void> ask(int at, std::string request, double patience_ms,
+    runtime::Task<void> ask(std::uint16_t port, std::string request, double patience_ms,
                             std::shared_ptr<http::Message> into, std::shared_ptr<bool> done);
-    std::string message(int number, int destination, const char* kind, const std::string& id) const;
+    std::string message(int destination, const char* kind, const std::string& id) const;
     void fault();
     void say(const std::string& what);
 
@@ -125,7 +141,7 @@
     FleetEnd end_;
     bool clients_on_ = true, publishing_ = false;
     int next_message_ = 0, next_rules_ = 1;
-    std::map<std::uint64_t, std::uint64_t> version_of_rules_;
+    std::unique_ptr<Process> double_;
 };
 
 }  // namespace brasslift::lab
--- a/src/lab/link.cpp
+++ b/src/lab/link.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -28,15 +29,18 @@
 }
 
 std::uint16_t free_port() {
-    const runtime::Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof at;
-    if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), size) != 0)
-        throw std::runtime_error("no free port");
-    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
-    return ntohs(at.sin_port);
+    // Below those that the system gives to connections, and apart from those of other rigs beside this one.
+    static unsigned next = static_cast<unsigned>(::getpid()) * 67U;
+    for (int tries = 0; tries < 2000; ++tries) {
+        const auto port = static_cast<std::uint16_t>(12000 + next++ % 20000);
+        const runtime::Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(port);
+        if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return port;
+    }
+    throw std::runtime_error("no port is free");
 }
 
 struct Link::Pair {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -109,12 +109,89 @@
     return end.broken.empty() ? 0 : 1;
 }
 
+// At rest, publishing, and delivery with members on against off, in pairs.
+int measure(FleetPlan plan, int publishes, int pairs) {
+    plan.fault_every_ms = 0;
+    {
+        Fleet fleet(plan);
+        fleet.form_all();
+        for (int i = 0; i < fleet.size(); ++i) fleet.start(i);
+        const bool up = fleet.await(
+            [&] {
+                for (int i = 0; i < fleet.size(); ++i)
+                    if (fleet.ready(i) != "200 yes\n") return false;
+                return true;
+            },
+            30000);
+        if (!up) throw std::runtime_error("the fleet does not come up");
+        fleet.run_for(3000);
+        constexpr double rest_ms = 10000;
+        std::vector<double> cpu, used, memory;
+        for (int i = 0; i < fleet.size(); ++i) cpu.push_back(fleet.cpu_ms(i));
+        const auto bytes = fleet.member_bytes();
+        fleet.run_for(rest_ms);
+        for (int i = 0; i < fleet.size(); ++i) {
+            used.push_back((fleet.cpu_ms(i) - cpu[static_cast<std::size_t>(i)]) / rest_ms * 100);
+            memory.push_back(static_cast<double>(fleet.resident_kb(i)) / 1000);
+        }
+        std::printf(
+            "%d members at rest: %.2f %% of a core (median), %.2f %% (most), %.1f MB resident, %.1f kB/s a "
+            "member\n",
+            fleet.size(), quantile(used, 0.5), quantile(used, 1), quantile(memory, 0.5),
+            static_cast<double>(fleet.member_bytes() - bytes) / rest_ms / fleet.size());
+        std::vector<double> answers, everywhere;
+        for (int i = 1; i <= publishes; ++i) {
+            const double from = fleet.now();
+            if (fleet.publish(i % fleet.size(), Fleet::rules_of(i)).status != 200) continue;
+            answers.push_back(fleet.now() - from);
+            const auto version = static_cast<std::uint64_t>(answers.size());
+            for (int at = 0; at < fleet.size(); ++at)
+                fleet.await([&] { return fleet.acting(at) >= version; }, 5000);
+            everywhere.push_back(fleet.now() - from);
+            fleet.await([&] { return fleet.settled(0) >= version; }, 5000);
+        }
+        std::printf(
+            "%zu of %d publishes done: answered p50 %.0f, p99 %.0f ms; active everywhere p50 %.0f, p99 %.0f "
+            "ms\n",
+            answers.size(), publishes, quantile(answers, 0.5), quantile(answers, 0.99),
+            quantile(everywhere, 0.5), quantile(everywhere, 0.99));
+        std::fflush(stdout);
+    }
+    std::vector<double> ratios, with, without;
+    for (int pair = 0; pair < pairs; ++pair) {
+        double p99[2] = {0, 0};
+        for (const bool on : {pair % 2 == 0, pair % 2 != 0}) {
+            auto one = plan;
+            one.members = on;
+            one.dispatchers = 3;
+            one.client_every_ms = 4;
+            one.publish_every_ms = 1e9;
+            one.faults_ms = 9000;
+            one.settle_ms = 6000;
+            Fleet fleet(one);
+            fleet.play();
+            p99[on ? 1 : 0] = quantile(fleet.account().delivery_ms(), 0.99);
+        }
+        ratios.push_back(p99[1] / p99[0]);
+        with.push_back(p99[1]);
+        without.push_back(p99[0]);
+    }
+    if (pairs > 0)
+        std::printf(
+            "delivery p99 over %d pairs: %.1f ms with members, %.1f ms without (medians); ratio %.3f, from "
+            "%.3f "
+            "to %.3f\n",
+            pairs, quantile(with, 0.5), quantile(without, 0.5), quantile(ratios, 0.5), quantile(ratios, 0),
+            quantile(ratios, 1));
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     cxxopts::Options options("brasslift-lab",
                              "Starts real dispatchers on loopback and throws faults between them.");
-    options.positional_help("campaign | demo");
+    options.positional_help("campaign | demo | measure");
     options.add_options()("h,help", "print this text")("command", "",
                                                        cxxopts::value<std::string>()->default_value(""))(
         "program", "the dispatcher (else the one beside this program)",
@@ -125,6 +202,8 @@
         "voters", "3 or 5", cxxopts::value<int>()->default_value("3"))(
         "seconds", "with faults, of each run", cxxopts::value<double>()->default_value("8"))(
         "contradiction", "the stated time, ms", cxxopts::value<double>()->default_value("3000"))(
+        "publishes", "of measure", cxxopts::value<int>()->default_value("40"))(
+        "pairs", "of measure: runs with members and without", cxxopts::value<int>()->default_value("4"))(
         "no-leases", "without a lease rules are kept, so that the checker has something to find")(
         "wipes", "folders are lost now and then");
     options.parse_positional({"command"});
@@ -144,9 +223,12 @@
         const bool fits = plan.dispatchers >= 3 && plan.dispatchers <= 25 && plan.voters <= plan.dispatchers;
         if (fits && command == "campaign")
             return campaign(plan, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
+        if (fits && command == "measure")
+            return measure(plan, given["publishes"].as<int>(), given["pairs"].as<int>());
         if (fits && command == "demo") return demo(plan, given.count("seconds") > 0 ? seconds : 60);
-        std::fprintf(stderr,
-                     "brasslift-lab: campaign or demo, with 3 to 25 dispatchers (--help tells more)\n");
+        std::fprintf(
+            stderr,
+            "brasslift-lab: campaign, demo or measure, with 3 to 25 dispatchers (--help tells more)\n");
         return 2;
     } catch (const cxxopts::exceptions::exception& fault) {
         std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,7 +25,8 @@
 }
 
 bool Process::start(const std::vector<std::string>& words,
-                    const std::map<std::string, std::string>& environment, const std::string& log) {
+                    const std::map<std::string, std::string>& environment, const std::string& log,
+                    std::uint64_t most_file_bytes) {
     std::vector<char*> arguments;
     for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
     arguments.push_back(nullptr);
@@ -39,6 +41,10 @@
     const int out = ::open(log.empty() ? "/dev/null" : log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, 1);
     ::dup2(out, 2);
+    if (most_file_bytes > 0) {
+        const rlimit limit{most_file_bytes, most_file_bytes};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
     ::execv(arguments[0], arguments.data());
     ::_exit(127);
 }
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,8 +20,9 @@
 
     // False: it cannot be forked. Standard error goes to the file, behind what is there.
     bool start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
-               const std::string& log);
-    bool running();  // reaps one that has ended
+               const std::string& log,
+               std::uint64_t most_file_bytes = 0);  // of any file it writes; 0: as it is
+    bool running();                                 // reaps one that has ended
     void signal(int number);
     void kill();                             // and waits for its end
     int exit_code() const { return exit_; }  // of the last end; less the signal's number, if one ended it
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -38,8 +38,8 @@
            request_class("safe", "pure") + ',' + request_class("keyed", "token") + ',' +
            request_class("payment", "side_effect") +
            "],\"customers\":[{\"name\":\"acme\",\"allowance_per_s\":1000.0,\"share\":0.4},"
-           "{\"name\":\"bolt\",\"allowance_per_s\":1000.0,\"share\":0.3},"
-           "{\"name\":\"coop\",\"allowance_per_s\":1000.0,\"share\":0.3}]}}";
+           "{\"name\":\"bolt\",\"allowance_per_s\":1000.0,\"share\":0.3}" +
+           (site.has_coop ? ",{\"name\":\"coop\",\"allowance_per_s\":1000.0,\"share\":0.3}]}}" : "]}}");
 }
 
 }  // namespace brasslift::lab
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -18,6 +18,7 @@
     int workers = 8, send_cap = 4, most_held = 20, sockets = 256, instances = 3;
     double disk_mb = 3;
     std::string name = "n1";
+    bool has_coop = true;  // the third tenant
 };
 
 // Classes safe, keyed and payment; tenants acme, bolt and coop.
--- a/src/members/agreed.hpp
+++ b/src/members/agreed.hpp
@@ -20,7 +20,7 @@
 class Agreed {
 public:
     // The oldest versions go beyond these, but never the current one and the one before it.
-    static constexpr std::size_t most_versions = 64, most_bytes = 4 << 20;
+    static constexpr std::size_t most_versions = 64, most_bytes = 2 << 20;
 
     struct Verdict {
         bool taken = false;
--- a/src/members/member.cpp
+++ b/src/members/member.cpp
@@ -195,15 +195,20 @@
     consensus_->propose(command, [](Consensus::Came, const Agreed::Verdict&) {});
 }
 
+// Whether this member could take a rule set that is still to be agreed on; empty: it could.
+std::string Member::judge(const v1::RuleSet& rules) const {
+    if (bytes_of(rules) > table_.most_rules_bytes)
+        return "a rule set has " + std::to_string(table_.most_rules_bytes) +
+               " bytes at most here, and this one " + std::to_string(bytes_of(rules));
+    return compile_(rules);
+}
+
 // Publishing, where it was asked for.
 
 void Member::publish(v1::Version version, std::uint64_t base, std::function<void(PublishEnd)> told,
                      double now) {
     now_ = now;
-    if (bytes_of(version.rules()) > most_rules_bytes)
-        return told(
-            {v1::REFUSED, 0, "a rule set has " + std::to_string(most_rules_bytes) + " bytes at most"});
-    if (auto why = compile_(version.rules()); !why.empty()) return told({v1::REFUSED, 0, std::move(why)});
+    if (auto why = judge(version.rules()); !why.empty()) return told({v1::REFUSED, 0, std::move(why)});
     Asked asked;
     asked.publishing.set_base(base);
     const auto ticket = version.ticket();
@@ -331,7 +336,7 @@
 
 void Member::begin_check() {
     const auto& version = job_->publishing.version();
-    if (auto why = compile_(version.rules()); !why.empty())
+    if (auto why = judge(version.rules()); !why.empty())
         return end_job({v1::REFUSED, 0, names_[self_] + ": " + why});
     job_->check_until = now_ + check_ms;
     v1::Frame frame;
@@ -348,7 +353,7 @@
     v1::Frame frame;
     auto& checked = *frame.mutable_checked();
     checked.set_ticket(check.ticket());
-    const auto why = compile_(check.rules());
+    const auto why = judge(check.rules());
     checked.set_good(why.empty());
     checked.set_why(why);
     send(from, std::move(frame));
--- a/src/members/member.hpp
+++ b/src/members/member.hpp
@@ -21,8 +21,8 @@
     std::string cluster;
     std::vector<Peer> peers;  // all members, this one too
     double contradiction_ms = 3000;
+    std::size_t most_rules_bytes = 256 * 1024;  // of one rule set; the log holds some dozens of them
 };
-constexpr std::size_t most_rules_bytes = 1 << 20;  // of one rule set
 constexpr std::uint32_t format_version = 1;
 
 // Whether this member's program and platform can work with a rule set; empty: they can.
@@ -104,6 +104,7 @@
     void renew();
     void settle();
     void work_off();
+    std::string judge(const v1::RuleSet& rules) const;
     void begin_check();
     void propose();
     void ask_leader();
--- a/src/members/setup.cpp
+++ b/src/members/setup.cpp
@@ -11,8 +11,16 @@
     return std::uint64_t{device()} << 32 | device();
 }
 
-Table table_of(const plan::MembersRule& rule) {
+std::uint64_t budget_of(double disk_bytes) {
+    return static_cast<std::uint64_t>(std::min(disk_bytes * folder_share / 4, 16e6));
+}
+
+Table table_of(const plan::MembersRule& rule, double disk_bytes) {
     Table table;
+    // The log, its snapshot and the copies that compaction makes of them all have to fit.
+    if (disk_bytes > 0)
+        table.most_rules_bytes = std::min<std::size_t>(table.most_rules_bytes,
+                                                       static_cast<std::size_t>(budget_of(disk_bytes) / 64));
     table.cluster = rule.cluster;
     table.contradiction_ms = rule.contradiction_ms;
     for (const auto& member : rule.members)
@@ -20,10 +28,6 @@
     return table;
 }
 
-std::uint64_t budget_of(double disk_bytes) {
-    return static_cast<std::uint64_t>(std::min(disk_bytes * folder_share / 4, 16e6));
-}
-
 std::unique_ptr<StoreJournal> journal_in(const std::string& state_folder, double disk_bytes,
                                          const plan::MembersRule& rule) {
     auto journal =
--- a/src/members/setup.hpp
+++ b/src/members/setup.hpp
@@ -12,7 +12,8 @@
 namespace brasslift::members {
 
 std::uint64_t chance();  // of the system's
-Table table_of(const plan::MembersRule& rule);
+// `disk_bytes`: the platform's limit; 0: not known.
+Table table_of(const plan::MembersRule& rule, double disk_bytes);
 // What of the stores' room is the members'; bytes of all of them.
 constexpr double folder_share = 0.8;  // of the platform's limit, for all stores together
 std::uint64_t budget_of(double disk_bytes);
--- a/src/serve/members.cpp
+++ b/src/serve/members.cpp
@@ -38,7 +38,7 @@
                        const plan::MembersRule& rule, dispatch::Dispatcher& dispatcher)
     : scheduler_(scheduler), config_(config), rule_(rule), dispatcher_(dispatcher) {
     members::Node::Setup setup;
-    setup.table = members::table_of(rule);
+    setup.table = members::table_of(rule, config.disk_mb * 1e6);
     setup.seed = members::chance();
     for (const auto& member : rule.members) {
         const auto address = runtime::parse_address(member.address);
--- a/tests/fleet_rig_test.cpp
+++ b/tests/fleet_rig_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "lab/fleet.hpp"
+#include "members/member.hpp"
 
 namespace brasslift::test {
 namespace {
@@ -144,6 +145,103 @@
     EXPECT_TRUE(fleet.await([&] { return fleet.probe(0) == -1; }, 4500));
 }
 
+// The same rules that others can work with, refused by one whose platform lacks a tenant: nothing changes
+// anywhere. Agreed while it is away, they leave it without a lease, and it says why.
+TEST(FleetMembers, OneMemberThatCannotCompileRefusesForAllOrStandsAside) {
+    auto plan = plan_of(4);
+    plan.without_coop = 3;
+    Ready fleet(plan);
+    const auto rules =
+        Fleet::rules_of(81) + "route { name: \"c\" match { tenant: \"coop\" } refuse { pause: \"1s\" } }\n";
+    const auto refused = fleet.publish(0, rules);
+    EXPECT_EQ(refused.status, 409);
+    EXPECT_NE(refused.body.find("n3: rules.textproto:3:35: error: the platform has no tenant"),
+              std::string::npos)
+        << refused.body;
+    EXPECT_TRUE(fleet.all_act_on(0));
+    fleet.kill(3);
+    fleet.run_for(3200);  // no longer among the living
+    ASSERT_EQ(fleet.publish(0, rules).status, 200);
+    fleet.start(3);
+    EXPECT_TRUE(fleet.await(
+        [&] { return fleet.ready(3).find("version 1: rules.textproto:3:35") != std::string::npos; }, 6000))
+        << fleet.ready(3);
+    EXPECT_TRUE(fleet.await([&] { return fleet.probe(3) == -1; }, 4500));
+    EXPECT_EQ(fleet.probe(0), 81);
+}
+
+// SIGTERM to one after the other, each started again, while rules are published: none is lost, all end on
+// one.
+TEST(FleetMembers, PublishesDuringARollingRestart) {
+    auto plan = plan_of(4);
+    plan.publish_every_ms = 600;
+    plan.fault_every_ms = 0;
+    plan.faults_ms = 12000;
+    Fleet fleet(plan);
+    int next = 0;
+    const auto end = fleet.play([&](Fleet& f) {
+        if (next < 4 && f.now() > 2500 + 2500 * next) f.term(next++);
+    });
+    EXPECT_EQ(end.broken, std::vector<std::string>());
+    EXPECT_GT(end.published, 4);
+}
+
+// A voter whose files can grow no more drops out of the agreement, and serves on.
+TEST(FleetMembers, AFullDiskAtAVoterStopsNobodyElse) {
+    Ready fleet(plan_of());
+    int full = fleet.leader() == 2 ? 1 : 2;
+    fleet.kill(full);
+    fleet.start(full, 50'000);
+    EXPECT_TRUE(fleet.await([&] { return fleet.probe(full) == 0; }, 6000));
+    int done = 0;
+    for (int i = 1; i <= 4; ++i) {
+        const auto rules = Fleet::rules_of(i) + "# " + std::string(20'000, 'x') + "\n";
+        done += fleet.await([&] { return fleet.publish(fleet.other_than(full), rules).status == 200; }, 9000)
+                    ? 1
+                    : 0;
+    }
+    EXPECT_EQ(done, 4);
+    EXPECT_TRUE(fleet.await([&] { return fleet.probe(fleet.other_than(full)) == 4; }, 3000));
+    EXPECT_TRUE(fleet.running(full)) << fleet.log_of(full);
+}
+
+TEST(FleetMembers, ASecondProcessOfOneNameIsRefused) {
+    Ready fleet(plan_of(4));
+    fleet.start_double(3);
+    EXPECT_TRUE(fleet.await(
+        [&] {
+            return fleet.log_of_double().find("another process has this member's name") != std::string::npos;
+        },
+        6000))
+        << fleet.log_of_double();
+    EXPECT_EQ(fleet.ready(3), "200 yes\n");
+}
+
+// What is no call of a member of this cluster and program is refused and counted, and changes nothing.
+TEST(FleetMembers, CallsOfOthersAreRefusedAndCounted) {
+    Ready fleet(plan_of());
+    members::v1::Envelope envelope;
+    envelope.set_cluster("lab");
+    envelope.set_format(members::format_version);
+    envelope.set_from(members::id_of("n1"));
+    envelope.set_to(members::id_of("n0"));
+    const auto call = [&](const auto& change, const char* target = "/members/frames") {
+        auto changed = envelope;
+        change(changed);
+        return fleet.call_member(0, target, changed.SerializeAsString()).status;
+    };
+    EXPECT_EQ(call([](auto& e) { e.set_cluster("other"); }), 403);
+    EXPECT_EQ(call([](auto& e) { e.set_format(members::format_version + 1); }), 426);
+    EXPECT_EQ(call([](auto& e) { e.set_from(members::id_of("stranger")); }), 403);
+    EXPECT_EQ(call([](auto& e) { e.set_to(members::id_of("n2")); }), 403);
+    EXPECT_EQ(call([](auto& e) { e.set_folder(7), e.set_life(1); }), 409);  // n1 is heard from another folder
+    EXPECT_EQ(call([](auto&) {}, "/elsewhere"), 404);
+    EXPECT_EQ(fleet.call_member(0, "/members/frames", "\xff no envelope").status, 400);
+    const auto figures = fleet.call(0, "GET", "/metrics").body;
+    EXPECT_NE(figures.find("app.members_calls_refused:7|c"), std::string::npos) << figures;
+    EXPECT_EQ(fleet.ready(0), "200 yes\n");
+}
+
 TEST(FleetMembers, TwentyPublishesUnderKillsEndOnOneVersion) {
     auto plan = plan_of(5);
     plan.publish_every_ms = 250;
@@ -171,21 +269,28 @@
     }
 }
 
-// With leases that nothing ends, the checker finds what they are for.
-TEST(FleetMembers, WithoutLeasesTheCheckerFindsAContradiction) {
+// The same cut, and leases that are heeded or not: the checker finds what they are for.
+std::vector<std::string> broken_by_a_cut(bool leases) {
     auto plan = plan_of(4);
-    plan.leases = false;
-    plan.fault_every_ms = 0;
-    plan.publish_every_ms = 1000;
-    plan.faults_ms = 9000;
-    Fleet fleet(plan);
-    bool cut = false;
-    const auto end = fleet.play([&](Fleet& f) {
-        if (!cut && f.now() > 3500) cut = true, f.isolate(3, true);
-    });
-    ASSERT_FALSE(end.broken.empty());
-    EXPECT_NE(end.broken.front().find("rules that contradict each other"), std::string::npos)
-        << end.broken.front();
+    plan.leases = leases;
+    Ready fleet(plan);
+    fleet.start_clients();
+    EXPECT_EQ(fleet.publish(0, Fleet::rules_of(1)).status, 200);
+    EXPECT_TRUE(fleet.await([&] { return fleet.all_act_on(1) && fleet.settled(0) == 1; }, 5000));
+    fleet.isolate(3, true);
+    EXPECT_EQ(fleet.publish(0, Fleet::rules_of(2)).status, 200);
+    fleet.run_for(4500);
+    fleet.clients(false);
+    fleet.isolate(3, false);
+    EXPECT_TRUE(fleet.await([&] { return fleet.all_act_on(2) && fleet.account().open() == 0; }, 10000));
+    return fleet.verdict().broken;
+}
+
+TEST(FleetMembers, WithoutLeasesTheCheckerFindsAContradiction) {
+    EXPECT_EQ(broken_by_a_cut(true), std::vector<std::string>());
+    const auto broken = broken_by_a_cut(false);
+    ASSERT_EQ(broken.size(), 1U);
+    EXPECT_NE(broken.front().find("n3 still acted on version 1"), std::string::npos) << broken.front();
 }
 
 }  // namespace
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -25,6 +25,7 @@
 #include "config/config.hpp"
 #include "handover/channel.hpp"
 #include "handover/meaning.hpp"
+#include "lab/link.hpp"
 #include "runtime/descriptor.hpp"
 #include "site.hpp"
 #include "state/archive.hpp"
@@ -66,16 +67,7 @@
 
 // For the program itself. Below the range that outgoing connections are given, so that none of the many that
 // tests beside this one make can take it before the program does.
-std::uint16_t free_port() {
-    static unsigned next = static_cast<unsigned>(::getpid()) * 13U;
-    for (int tries = 0; tries < 1000; ++tries) {
-        const auto port = static_cast<std::uint16_t>(12000 + next++ % 20000);
-        const Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        const auto at = loopback(port);
-        if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return port;
-    }
-    throw Fault("no port is free");
-}
+using lab::free_port;
 
 struct Peer {
     Descriptor fd;
