--- a/src/lab/link.hpp
+++ b/src/lab/link.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <random>
@@ -56,6 +57,9 @@
 
 // A listener on loopback at a port that the system chooses; throws where there is none.
 runtime::Socket listen_anywhere(runtime::Scheduler& scheduler, runtime::Waker& waker, std::uint16_t& port);
+// Every connection that comes, for as long as the listener is there.
+runtime::Task<void> accept_each(runtime::Scheduler& scheduler, runtime::Socket& listener,
+                                runtime::Waker& waker, std::function<void(runtime::Descriptor)> take);
 runtime::Address local(std::uint16_t port);
 std::string local_text(std::uint16_t port);
 std::uint16_t free_port();
--- a/tests/fleet_rig_test.cpp
+++ b/tests/fleet_rig_test.cpp
@@ -1,5 +1,5 @@
 // Real dispatchers under faults, on the rig: the members' hard cases one by one, and a thinned campaign.
-// BRASSLIFT_FLEET_SEEDS says how many seeds of it; bench/README says how the long ones are run.
+// BRASSLIFT_FLEET_SEEDS says how many seeds of it; docs/design/members.md says how the long ones are run.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
