--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -495,11 +495,19 @@
             watch(*this);
             next_watch = now() + 500;
         }
-        if (whole && now() > healed + 4500 && account_.open() == 0) break;
+        // One that was told to end just before takes its 3.6 s for that, and then starts again.
+        if (whole && now() > healed + 4500 && account_.open() == 0 && alike()) break;
     }
     return verdict();
 }
 
+bool Fleet::alike() {
+    const auto first = acting(0);
+    for (int i = 1; i < plan_.dispatchers; ++i)
+        if (acting(i) != first) return false;
+    return true;
+}
+
 FleetEnd Fleet::verdict() {
     auto end = end_;
     end.broken = account_.broken(plan_.contradiction_ms);
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -126,6 +126,7 @@
                             std::shared_ptr<http::Message> into, std::shared_ptr<bool> done);
     std::string message(int destination, const char* kind, const std::string& id) const;
     void fault();
+    bool alike();  // whether all act on one version
     void say(const std::string& what);
 
     FleetPlan plan_;
