--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -44,6 +44,12 @@
     std::string folder;  // where it was kept
 };
 
+// Destinations; the rig's rules refuse the second with a pause that tells them apart.
+constexpr int served = 1, probed = 2;
+
+// The digits behind a key in a JSON answer.
+std::string number_after(const std::string& text, const std::string& key);
+
 class Fleet {
 public:
     explicit Fleet(const FleetPlan& plan);
