--- a/src/commands/members_command.cpp
+++ b/src/commands/members_command.cpp
@@ -270,6 +270,11 @@
             Operator at(given["at"].template as<std::string>());
             const bool json = given.count("json") > 0;
             const auto who = given["who"].template as<std::string>();
+            // It stands in the history of every member, and in a request's line on its way there.
+            if (who.size() > 64 ||
+                who.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.@") !=
+                    std::string::npos)
+                throw Misused("--who takes 64 letters, digits and any of - _ . @ at most");
             const auto& what = words.empty() ? std::string() : words.front();
             if (what == "publish" && words.size() == 2) return publish(at, words[1], who, json);
             if (what == "status" && words.size() == 1) return rules_list(at, json, false);
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -40,7 +40,7 @@
     double longest_contradiction_ms = 0;
     std::size_t taken = 0, turned_away = 0, acts = 0;
     int published = 0, refused = 0, no_majority = 0, kills = 0, stops = 0, cuts = 0, terms = 0;
-    std::vector<double> publish_ms, everywhere_ms;
+    std::vector<double> publish_ms;
     std::string folder;  // where it was kept
 };
 
@@ -144,7 +144,6 @@
     std::unique_ptr<Party> partner_, discovery_;
     std::vector<std::unique_ptr<One>> all_;
     std::map<std::pair<int, int>, std::unique_ptr<Link>> links_;
-    std::map<std::uint64_t, double> everywhere_;  // versions whose way to everybody is being timed
     FleetEnd end_;
     bool clients_on_ = true, publishing_ = false;
     int next_message_ = 0, next_rules_ = 1;
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -110,7 +110,6 @@
         if (answer.status == 200) {
             ++end_.published;
             end_.publish_ms.push_back(now() - sent);
-            everywhere_[std::strtoull(number_after(answer.body, "\"version\":").c_str(), nullptr, 10)] = sent;
         } else {
             ++(answer.status == 409 ? end_.refused : end_.no_majority);
         }
--- a/src/serve/members.cpp
+++ b/src/serve/members.cpp
@@ -165,7 +165,6 @@
 }
 
 runtime::Task<admin::Reply> Membership::publish(members::v1::Version version) {
-    ++publishes_;
     version.set_digest(members::digest_of(version.rules()));
     version.set_when_ms(static_cast<std::int64_t>(runtime::wall_now()));
     version.set_ticket(config_.name + '/' + std::to_string(members::chance()));
--- a/src/serve/members.hpp
+++ b/src/serve/members.hpp
@@ -42,7 +42,6 @@
     // Of the version that is acted on: whether it has what must not be acted on without a lease.
     bool has_routes_ = false, has_limits_ = false, has_policies_ = false;
     mutable std::uint64_t turned_away_ = 0;
-    std::uint64_t publishes_ = 0;
 };
 
 }  // namespace brasslift::serve
