Fit the lines of scale runs, print and record them: brasslift-lab scale AXIS

Cause: what the operators' size costs is to be carried on from runs at sizes that fit here, and a cost that grows faster than a line must be seen and not carried on as one. Change: least squares and the growth's exponent of each measure, flagged above 1.3 and where a point misses the line by over a tenth; text and JSON; results as files with commit, command and machine, read back with the file and the cause of what is broken.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,9 +8,12 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "lab/fleet.hpp"
+#include "lab/scale_command.hpp"
 
 namespace {
 
@@ -187,12 +190,19 @@
     return 0;
 }
 
+// As it was called, with the program's own name in place of its path.
+std::string called(int argc, char** argv) {
+    std::string words = "brasslift-lab";
+    for (int i = 1; i < argc; ++i) words += std::string(" ") + argv[i];
+    return words;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     cxxopts::Options options("brasslift-lab",
                              "Starts real dispatchers on loopback and throws faults between them.");
-    options.positional_help("campaign | demo | measure");
+    options.positional_help("campaign | demo | measure | scale AXIS");
     options.add_options()("h,help", "print this text")("command", "",
                                                        cxxopts::value<std::string>()->default_value(""))(
         "program", "the dispatcher (else the one beside this program)",
@@ -206,8 +216,18 @@
         "publishes", "of measure", cxxopts::value<int>()->default_value("40"))(
         "pairs", "of measure: runs with members and without", cxxopts::value<int>()->default_value("4"))(
         "no-leases", "without a lease rules are kept, so that the checker has something to find")(
-        "wipes", "folders are lost now and then");
-    options.parse_positional({"command"});
+        "wipes", "folders are lost now and then")("axis", "of scale: members, destinations, backlog or rate",
+                                                  cxxopts::value<std::string>()->default_value(""))(
+        "sizes", "of scale: along the axis, with commas (else the axis's own)",
+        cxxopts::value<std::vector<double>>())("seed", "of scale",
+                                               cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "json", "of scale: one JSON object")("record", "of scale: the folder that the result is written to",
+                                             cxxopts::value<std::string>()->default_value(""))(
+        "label", "of scale: what the result is told from another by, such as before",
+        cxxopts::value<std::string>()->default_value(""))(
+        "commit", "of scale: the commit of the program, for the record",
+        cxxopts::value<std::string>()->default_value(""));
+    options.parse_positional({"command", "axis"});
     try {
         const auto given = options.parse(argc, argv);
         const auto command = given["command"].as<std::string>();
@@ -221,6 +241,22 @@
         plan.wipes = given.count("wipes") > 0;
         const double seconds = given["seconds"].as<double>();
         plan.faults_ms = seconds * 1000;
+        if (command == "scale") {
+            ScaleCall call;
+            call.axis = given["axis"].as<std::string>();
+            call.options.program = plan.program;
+            if (given.count("sizes") > 0) call.options.sizes = given["sizes"].as<std::vector<double>>();
+            call.options.seed = given["seed"].as<std::uint64_t>();
+            if (given.count("voters") > 0) call.options.voters = plan.voters;
+            if (given.count("seconds") > 0) call.options.seconds = seconds;
+            call.options.command = called(argc, argv);
+            call.options.room = room_here();
+            call.json = given.count("json") > 0;
+            call.record = given["record"].as<std::string>();
+            call.label = given["label"].as<std::string>();
+            call.commit = given["commit"].as<std::string>();
+            return scale(call);
+        }
         const bool fits = plan.dispatchers >= 3 && plan.dispatchers <= 25 && plan.voters <= plan.dispatchers;
         if (fits && command == "campaign")
             return campaign(plan, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
@@ -229,11 +265,15 @@
         if (fits && command == "demo") return demo(plan, given.count("seconds") > 0 ? seconds : 60);
         std::fprintf(
             stderr,
-            "brasslift-lab: campaign, demo or measure, with 3 to 25 dispatchers (--help tells more)\n");
+            "brasslift-lab: campaign, demo or measure, with 3 to 25 dispatchers, or scale AXIS (--help tells "
+            "more)\n");
         return 2;
     } catch (const cxxopts::exceptions::exception& fault) {
         std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
         return 2;
+    } catch (const std::invalid_argument& fault) {
+        std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
+        return 2;
     } catch (const std::exception& fault) {
         std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
         return 1;
--- a/src/lab/scale.hpp
+++ b/src/lab/scale.hpp
@@ -1,7 +1,7 @@
-// Scale runs: what a size costs, measured at some sizes and carried on by a line. An axis is one quantity that
-// grows (members, destinations, backlog, rate); each of its points is one run. Decides nothing about the
-// dispatcher. Errors: throws std::runtime_error where a run cannot work; a size that does not fit this machine
-// is refused before it begins, with the largest that would fit.
+// Scale runs: what a size costs, measured at some sizes and carried on by a line. An axis is one quantity
+// that grows (members, destinations, backlog, rate); each of its points is one run. Decides nothing about the
+// dispatcher. Errors: throws std::runtime_error where a run cannot work; a size that does not fit this
+// machine is refused before it begins, with the largest that would fit.
 #pragma once
 
 #include <cstdint>
@@ -36,6 +36,8 @@
     double at(double size) const { return intercept + slope * size; }
 };
 Fit fit_of(const AxisRun& run, const std::string& measure);
+// Above this exponent a line must not be carried on, above this residual only with care; both are flagged.
+inline constexpr double steep_exponent = 1.3, straight_residual = 0.1;
 
 // What a machine has for a run: half of its memory, and so many processes.
 struct Room {
