Work the page of capacity out of a size file and the scale runs' results

Cause: what the operators' size asks of each role, and which limit today's program passes first, stood nowhere and was not to be typed by hand. Change: deploy/size.textproto holds their figures and, apart, what we assume; brasslift-lab capacity carries the results on to them by lines, by the growth where it is steeper, and not at all beyond a run that did not come off; it ranks the limits by the share of the size and prints docs/CAPACITY.md, which a test compares. The bound on members moves to the plan's header so that it is read and not copied.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks; CMake does the work.
-.PHONY: packages build demo test lint format config-docs bench run clean
+.PHONY: packages build demo test lint format config-docs capacity bench run clean
 
 # On a bare Debian machine; needs root only where something is missing.
 packages:
@@ -26,6 +26,10 @@
 	cmake --build build --target schema_doc
 	cmake -DTOOL=build/schema_doc -DSCHEMA=build/proto/brasslift_schema.desc -DDOC=docs/config-language.md -DWRITE=ON -P tests/schema_doc.cmake
 
+# docs/CAPACITY.md, out of deploy/size.textproto and the results in docs/capacity.
+capacity: build
+	cmake -DTOOL=build/brasslift-lab -DROOT=. -DWRITE=ON -P tests/capacity_page.cmake
+
 bench: packages
 	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBRASSLIFT_BENCH=ON
 	cmake --build build-bench -j4
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/capacity.hpp"
 #include "lab/fleet.hpp"
 #include "lab/scale_command.hpp"
 
@@ -202,7 +203,7 @@
 int main(int argc, char** argv) {
     cxxopts::Options options("brasslift-lab",
                              "Starts real dispatchers on loopback and throws faults between them.");
-    options.positional_help("campaign | demo | measure | scale AXIS");
+    options.positional_help("campaign | demo | measure | scale AXIS | capacity");
     options.add_options()("h,help", "print this text")("command", "",
                                                        cxxopts::value<std::string>()->default_value(""))(
         "program", "the dispatcher (else the one beside this program)",
@@ -227,6 +228,10 @@
         cxxopts::value<std::string>()->default_value(""))(
         "commit", "of scale: the commit of the program, for the record",
         cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("size", "of capacity: the size file",
+                          cxxopts::value<std::string>()->default_value("deploy/size.textproto"))(
+        "results", "of capacity: the folder of the runs' results",
+        cxxopts::value<std::string>()->default_value("docs/capacity"));
     options.parse_positional({"command", "axis"});
     try {
         const auto given = options.parse(argc, argv);
@@ -257,16 +262,20 @@
             call.commit = given["commit"].as<std::string>();
             return scale(call);
         }
+        if (command == "capacity") {
+            const auto results = results_in(given["results"].as<std::string>());
+            const auto page = capacity_page(read_size(given["size"].as<std::string>()), results);
+            return std::fwrite(page.data(), 1, page.size(), stdout) == page.size() ? 0 : 1;
+        }
         const bool fits = plan.dispatchers >= 3 && plan.dispatchers <= 25 && plan.voters <= plan.dispatchers;
         if (fits && command == "campaign")
             return campaign(plan, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
         if (fits && command == "measure")
             return measure(plan, given["publishes"].as<int>(), given["pairs"].as<int>());
         if (fits && command == "demo") return demo(plan, given.count("seconds") > 0 ? seconds : 60);
-        std::fprintf(
-            stderr,
-            "brasslift-lab: campaign, demo or measure, with 3 to 25 dispatchers, or scale AXIS (--help tells "
-            "more)\n");
+        std::fprintf(stderr,
+                     "brasslift-lab: campaign, demo or measure, with 3 to 25 dispatchers, scale AXIS, "
+                     "or capacity (--help tells more)\n");
         return 2;
     } catch (const cxxopts::exceptions::exception& fault) {
         std::fprintf(stderr, "brasslift-lab: %s\n", fault.what());
--- a/src/lab/record.cpp
+++ b/src/lab/record.cpp
@@ -92,9 +92,9 @@
 
 std::vector<Result> results_in(const std::string& folder) {
     std::vector<fs::path> paths;
-    if (fs::is_directory(folder))
-        for (const auto& entry : fs::directory_iterator(folder))
-            if (entry.path().extension() == ".json") paths.push_back(entry.path());
+    if (!fs::is_directory(folder)) fault(folder, "there is no such folder");
+    for (const auto& entry : fs::directory_iterator(folder))
+        if (entry.path().extension() == ".json") paths.push_back(entry.path());
     std::sort(paths.begin(), paths.end());
     std::vector<Result> results;
     for (const auto& path : paths) {
--- a/src/lab/record.hpp
+++ b/src/lab/record.hpp
@@ -30,7 +30,7 @@
 
 // FOLDER/AXIS.json, or AXIS-LABEL.json. Answers its path.
 std::string record(const Result& result, const std::string& folder);
-// All of a folder, by name; a folder that is not there holds none.
+// All of a folder, by name.
 std::vector<Result> results_in(const std::string& folder);
 
 }  // namespace brasslift::lab
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -140,6 +140,7 @@
     };
     std::string cluster;
     std::vector<Member> members;
+    static constexpr int most_members = 200;
     double contradiction_ms = 3000;
     bool refuse_routes = true, refuse_limits = true, refuse_policies = false,
          refuse_lists = true;  // without a lease
--- a/tests/scale_fit_test.cpp
+++ b/tests/scale_fit_test.cpp
@@ -173,6 +173,20 @@
     }
 }
 
+TEST(ScaleRecord, AFolderThatIsNotThereIsAnError) {
+    const Folder folder;
+    EXPECT_THROW(results_in(folder.path), std::runtime_error);
+    fs::create_directories(folder.path);
+    EXPECT_TRUE(results_in(folder.path).empty());
+    std::ofstream(folder.path / "rate.json") << "{";
+    try {
+        results_in(folder.path);
+        ADD_FAILURE() << "a broken file was read";
+    } catch (const std::runtime_error& fault) {
+        EXPECT_NE(std::string(fault.what()).find("rate.json: "), std::string::npos) << fault.what();
+    }
+}
+
 TEST(ScaleCommand, RefusesBeforeItRuns) {
     ScaleCall call;
     call.axis = "height";
