--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -302,6 +302,27 @@
     EXPECT_NEAR(limit_in(limits, "backlog", "resident memory, destinations down").value->value, 11, 1e-3);
 }
 
+TEST(Capacity, FaultsOfTheMembersAreLimitsToo) {
+    const std::vector<Result> results{
+        result(planted("members", {5, 25, 50},
+                       {{"burst_agreed_share", [](double n) { return n > 30 ? 0.5 : 1.0; }},
+                        {"zone_gone_publish_active_ms", [](double n) { return 3000 + 10 * n; }},
+                        {"zone_gone_no_lease_share", [](double) { return 0.2; }},
+                        {"halves_parted_no_lease_longest_ms", [](double) { return 9000.0; }}}))};
+    const auto limits = limits_of(size_now(), Measured(results));
+    const auto burst = limit_in(limits, "dispatchers", "of a burst that are refused");
+    EXPECT_EQ(burst.passes->value, 25);
+    EXPECT_TRUE(burst.is_passed());
+    const auto zone = limit_in(limits, "dispatchers", "while a zone is away");
+    EXPECT_NEAR(zone.passes->value, 100, 1e-6);
+    // The run chose how long halves were parted: that is no limit of the program.
+    for (const auto& limit : limits)
+        EXPECT_EQ(limit.what.find("without a lease while halves"), std::string::npos) << limit.what;
+    const auto page = capacity_page(size_now(), results);
+    EXPECT_NE(page.find("| `zone_gone` | 0.2 |"), std::string::npos);
+    EXPECT_NE(page.find("| `halves_parted` | not measured | 9,000 |"), std::string::npos);
+}
+
 TEST(Capacity, TwoResultsOfOneAxisAreToldApartByLabel) {
     auto results = all_planted();
     results.push_back(results[0]);
