--- a/src/lab/peers.cpp
+++ b/src/lab/peers.cpp
@@ -1,5 +1,9 @@
 #include "lab/peers.hpp"
 
+#include <arpa/inet.h>
+
+#include <stdexcept>
+
 #include "client/caller.hpp"
 #include "http/writer.hpp"
 
@@ -21,6 +25,14 @@
     scheduler_.spawn(listen());
 }
 
+Party::Party(runtime::Scheduler& scheduler, runtime::Address at, Handle handle)
+    : scheduler_(scheduler), handle_(std::move(handle)), waker_(scheduler), port_(ntohs(at.port)) {
+    auto listener = runtime::listen_on(scheduler_, at, waker_);
+    if (!listener) throw std::runtime_error("cannot listen on " + runtime::to_text(at));
+    listener_ = std::move(*listener);
+    scheduler_.spawn(listen());
+}
+
 runtime::Task<void> Party::listen() {
     return accept_each(scheduler_, listener_, waker_, [this](runtime::Descriptor fd) {
         scheduler_.spawn(serve(std::make_shared<Connection>(scheduler_, std::move(fd))));
--- a/src/lab/peers.hpp
+++ b/src/lab/peers.hpp
@@ -24,6 +24,8 @@
     };
     using Handle = std::function<Reply(const http::Message&)>;
     Party(runtime::Scheduler& scheduler, Handle handle);
+    // At an address of its own; throws where that cannot be had.
+    Party(runtime::Scheduler& scheduler, runtime::Address at, Handle handle);
     std::uint16_t port() const { return port_; }
 
 private:
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -4,7 +4,8 @@
 std::string site_entry(const SiteHost& host) {
     return "{\"uid\":\"" + host.uid + "\",\"endpoint\":\"" + host.address +
            "\",\"az\":\"a\",\"model\":\"many\",\"pod_group\":" + std::to_string(host.destination) +
-           ",\"state\":\"" + host.state + "\",\"capacity_hint\":50.0,\"boot_ms\":0}";
+           ",\"state\":\"" + host.state + "\",\"capacity_hint\":" + std::to_string(host.capacity_hint) +
+           ".0" + ",\"boot_ms\":0}";
 }
 
 namespace {
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -10,6 +10,7 @@
     std::string uid, address;
     int destination = 1;
     std::string state = "Ready";
+    int capacity_hint = 50;
 };
 
 struct Site {
