--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,12 +16,14 @@
     if (id_ > 0) kill();
 }
 
-Process::Process(Process&& other) noexcept : id_(std::exchange(other.id_, 0)), exit_(other.exit_) {}
+Process::Process(Process&& other) noexcept
+    : id_(std::exchange(other.id_, 0)), exit_(other.exit_), ends_with_parent_(other.ends_with_parent_) {}
 
 Process& Process::operator=(Process&& other) noexcept {
     if (id_ > 0) kill();
     id_ = std::exchange(other.id_, 0);
     exit_ = other.exit_;
+    ends_with_parent_ = other.ends_with_parent_;
     return *this;
 }
 
@@ -30,9 +33,14 @@
     std::vector<char*> arguments;
     for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
     arguments.push_back(nullptr);
+    const auto parent = ::getpid();
     id_ = ::fork();
     if (id_ < 0) return id_ = 0, false;
     if (id_ > 0) return true;
+    if (ends_with_parent_) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent) ::_exit(1);
+    }
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -22,7 +22,9 @@
     bool start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
                const std::string& log,
                std::uint64_t most_file_bytes = 0);  // of any file it writes; 0: as it is
-    bool running();                                 // reaps one that has ended
+    // From its next start on it is killed where the thread that started it ends first, however that ends.
+    void end_with_parent() { ends_with_parent_ = true; }
+    bool running();  // reaps one that has ended
     void signal(int number);
     void kill();                             // and waits for its end
     int exit_code() const { return exit_; }  // of the last end; less the signal's number, if one ended it
@@ -32,6 +34,7 @@
     void ended(int status);
     pid_t id_ = 0;
     int exit_ = 0;
+    bool ends_with_parent_ = false;
 };
 
 // Waits for the end of one command and answers its exit code; -1: it cannot be run.
