Give each busy destination a message a second on the destinations axis

Cause: at 100 messages a second over 200 destinations a kept connection was closed between two turns, so that sizes with fewer busy destinations looked cheaper. A dispatcher that ended within a point went unnoticed, and a point that was given up said nothing of the loop's hold. Change: 200 messages a second; both are said. The number of destinations that a list can number is a constant.

--- a/src/lab/scale_destinations.cpp
+++ b/src/lab/scale_destinations.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 const std::vector<double> own_sizes{100, 1000, 10000, 100000, 420000};
-constexpr double messages_per_second = 100, changes_per_second = 20;
+// Each busy destination's turn comes well within the time that an idle connection is kept.
+constexpr double messages_per_second = 200, changes_per_second = 20;
 constexpr double most_start_ms = 60000;  // then the point is given up
 // What a run took before the table of destinations was made small; for whether it fits.
 constexpr double fixed_bytes = 100e6, bytes_each = 6000;
@@ -46,6 +47,7 @@
     const auto loading = board.probe_ms.sorted_from(0);
     add("peak_resident_bytes", peak_resident_bytes_of(world.dispatcher().id()));
     if (listed < 0) {
+        add("load_hold_ms", quantile_of(loading, 1) - quantile_of(loading, 0.5));
         add("resident_bytes", resident_bytes_of(world.dispatcher().id()));
         point.note = "no message for the last host was taken within " +
                      std::to_string(static_cast<int>(most_start_ms / 1000)) + " s; the list was begun " +
@@ -84,6 +86,7 @@
     board.probing = true;
     pause_ms(0.5 * ms);
     add("hold_ms", std::max(0.0, quantile_of(board.probe_ms.sorted_from(probes_from), 1) - quiet));
+    if (!world.dispatcher().running()) point.note = "the dispatcher ended: " + world.log();
     return point;
 }
 
--- a/src/lab/scale_rate.cpp
+++ b/src/lab/scale_rate.cpp
@@ -32,6 +32,7 @@
     const double idle = cpu_rate(world, 0.1 * options.seconds * 1000);
     measure_messages(world, size, warm_up_ms, options.seconds * 1000, idle, point);
     point.measures.push_back({"resident_bytes", resident_bytes_of(world.dispatcher().id())});
+    if (!world.dispatcher().running()) point.note = "the dispatcher ended: " + world.log();
     return point;
 }
 
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -19,13 +19,16 @@
 
 namespace brasslift::lab {
 
+// Destinations that a hollow list numbers, from 1 on; each further host is a second one of such a
+// destination.
+constexpr std::uint32_t listed_numbers = 65000;  // a list's numbers have 16 bits
+
 struct WorldPlan {
     std::uint64_t seed = 1;     // of the clients' times
     std::string program;        // the dispatcher
     std::uint32_t hosts = 100;  // known by the list
     std::uint32_t busy = 200;   // destinations that messages go to, as far as there are hosts
-    std::uint32_t numbers =
-        65000;                  // destinations that the list numbers; further hosts are second ones of these
+    std::uint32_t numbers = listed_numbers;
     double away_share = 0.048;  // of the hosts, not ready
     int capacity_hint = 50;     // calls a second, of each host
     double answer_ms = 5;       // an endpoint takes so long
