Run up to a thousand members on one machine, most of them hollow

Processor time, memory and descriptors come from /proc, bytes from the kernel's connections (sock_diag).

The operators' file allowed 200 members, a constant that came with the first agreement and has no reason of its own; it is 1000 now. A Node can be told to lose what is said to and by some peers, as where a network is parted; nothing in a dispatcher tells it. Children of the rig end with it.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -33,6 +34,8 @@
     id_ = ::fork();
     if (id_ < 0) return id_ = 0, false;
     if (id_ > 0) return true;
+    // Nothing is left behind where the rig itself is ended: it has one thread, so its end is that thread's.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- /dev/null
+++ b/src/lab/scale_members.cpp
@@ -0,0 +1,285 @@
+// The members' axis: what a size costs at rest, under publishes and under faults.
+//
+// At rest, the leader's, a voter's (the median of the others) and a dispatcher's figures are the kernel's,
+// over the stated seconds; nobody asks them anything meanwhile. Bytes are TCP payload, in and out. What a
+// publish every 28 s costs is computed: at rest, and a 28th part of what one publish was measured to cost.
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <optional>
+#include <set>
+#include <stdexcept>
+
+#include "lab/member_fleet.hpp"
+#include "lab/scale.hpp"
+#include "members/node.hpp"
+
+namespace brasslift::lab {
+namespace {
+
+constexpr double publish_every_s = 28;
+constexpr int publishes = 5;
+// Of a hollow member for each member that it knows, of each process, of a real one beside that; measured.
+constexpr double pair_bytes = 2600, process_bytes = 12e6;
+
+double median(std::vector<double> values) {
+    if (values.empty()) return 0;
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+double memory_of(double members) { return members * members * pair_bytes + 20 * process_bytes; }
+
+// Throws where the size does not fit, with what would.
+void judge(double size, const ScaleOptions& options) {
+    if (options.voters != 3 && options.voters != 5)
+        throw std::runtime_error(std::to_string(options.voters) +
+                                 " voters: the operators' file has 3 or 5; 5 would fit");
+    if (size < options.voters)
+        throw std::runtime_error(std::to_string(static_cast<int>(size)) +
+                                 " members: the voters are among them; " + std::to_string(options.voters) +
+                                 " would fit");
+    constexpr int most_members = 1000;  // of the operators' file
+    double most = most_members;
+    if (options.room.memory_bytes > 0) {
+        const auto left = static_cast<double>(options.room.memory_bytes) - memory_of(0);
+        most = std::min(most, std::floor(std::sqrt(std::max(0.0, left) / pair_bytes)));
+    }
+    const int processes = options.voters + MemberFleet::dispatchers + MemberFleet::hollow_processes + 1;
+    if (options.room.processes < processes)
+        throw std::runtime_error("the members' axis takes " + std::to_string(processes) + " processes, and " +
+                                 std::to_string(options.room.processes) + " may run");
+    if (size > most)
+        throw std::runtime_error(std::to_string(static_cast<int>(size)) + " members do not fit; " +
+                                 std::to_string(static_cast<int>(most)) + " would");
+}
+
+class MembersRun {
+public:
+    MembersRun(const ScaleOptions& options, double size)
+        : options_(options), fleet_({options.program, static_cast<int>(size), options.voters, options.seed}) {
+        point_.size = size;
+    }
+    Point play();
+
+private:
+    // What one role used, and what of it lasts.
+    struct Used {
+        double cpu_ms = 0, bytes = 0;
+        ProcFigures now;
+    };
+    struct Window {
+        double from = 0;
+        std::vector<ProcFigures> before;
+        std::map<pid_t, TcpBytes> bytes;
+        double hollow_cpu_ms = 0;
+    };
+    void put(const std::string& name, double value) { point_.measures.push_back({name, value}); }
+    void miss(const std::string& what) { point_.note += (point_.note.empty() ? "" : "; ") + what; }
+    bool ready(double most_ms, const std::string& when);
+    std::vector<pid_t> ids() const;
+    double hollow_cpu() const;
+    Window open() const;
+    std::map<std::string, Used> close(const Window& window) const;
+    void rest();
+    void cost_of_publishes();
+    void publish_times();
+    void burst();
+    std::optional<std::pair<double, double>> publish_once(int at, const std::set<int>& zones, double most_ms,
+                                                          bool again);
+
+    ScaleOptions options_;
+    MemberFleet fleet_;
+    Point point_;
+    int leader_ = -1;
+    std::map<std::string, double> rest_cpu_, rest_bytes_;  // a second
+};
+
+std::vector<pid_t> MembersRun::ids() const {
+    std::vector<pid_t> ids;
+    for (int i = 0; i < fleet_.real(); ++i) ids.push_back(fleet_.id_of(i));
+    return ids;
+}
+
+double MembersRun::hollow_cpu() const {
+    double ms = 0;
+    for (const auto id : fleet_.hollow_ids()) ms += proc_figures(id).cpu_ms;
+    return ms;
+}
+
+MembersRun::Window MembersRun::open() const {
+    Window window;
+    window.from = members::boot_now();
+    for (const auto id : ids()) window.before.push_back(proc_figures(id));
+    window.bytes = tcp_bytes(ids());
+    window.hollow_cpu_ms = hollow_cpu();
+    return window;
+}
+
+// By role; of the voters that do not lead and of the dispatchers, the medians.
+std::map<std::string, MembersRun::Used> MembersRun::close(const Window& window) const {
+    std::map<std::string, std::vector<Used>> all;
+    const auto bytes = tcp_bytes(ids());
+    const auto of = [](const auto& by_id, pid_t id) {
+        const auto found = by_id.find(id);
+        return found == by_id.end() ? TcpBytes() : found->second;
+    };
+    for (int i = 0; i < fleet_.real(); ++i) {
+        const auto id = fleet_.id_of(i);
+        Used used;
+        used.now = proc_figures(id);
+        used.cpu_ms = used.now.cpu_ms - window.before[static_cast<std::size_t>(i)].cpu_ms;
+        used.bytes = static_cast<double>(bytes_between(of(window.bytes, id), of(bytes, id)));
+        all[i == leader_ ? "leader" : i < fleet_.voters() ? "voter" : "dispatcher"].push_back(used);
+    }
+    std::map<std::string, Used> roles;
+    for (auto& [role, each] : all) {
+        const auto middle = [&each = each](const std::function<double(const Used&)>& get) {
+            std::vector<double> values;
+            for (const auto& used : each) values.push_back(get(used));
+            return median(values);
+        };
+        auto& into = roles[role];
+        into.cpu_ms = middle([](const Used& u) { return u.cpu_ms; });
+        into.bytes = middle([](const Used& u) { return u.bytes; });
+        into.now.resident_mb = middle([](const Used& u) { return u.now.resident_mb; });
+        into.now.descriptors = static_cast<int>(middle([](const Used& u) { return u.now.descriptors; }));
+    }
+    return roles;
+}
+
+bool MembersRun::ready(double most_ms, const std::string& when) {
+    const double until = members::boot_now() + most_ms;
+    // Leases on no version at all need no leader.
+    if (!fleet_.await([&] { return (leader_ = fleet_.leader()) >= 0; }, most_ms))
+        miss("nobody leads " + when);
+    const bool all = fleet_.await([&] { return fleet_.all_leased(); }, until - members::boot_now());
+    if (!all) miss("not all have a lease " + when);
+    return all && leader_ >= 0;
+}
+
+void MembersRun::rest() {
+    const auto window = open();
+    fleet_.run_for(options_.seconds * 1000);
+    const auto hollow_ms = hollow_cpu() - window.hollow_cpu_ms;
+    const auto roles = close(window);
+    const double ms = members::boot_now() - window.from;
+    for (const auto& [role, used] : roles) {
+        rest_cpu_[role] = used.cpu_ms / ms * 1000;
+        rest_bytes_[role] = used.bytes / ms * 1000;
+        put(role + "_cpu_percent", used.cpu_ms / ms * 100);
+        put(role + "_resident_mb", used.now.resident_mb);
+        put(role + "_bytes_per_s", rest_bytes_[role]);
+        put(role + "_descriptors", used.now.descriptors);
+    }
+    double resident = 0;
+    for (const auto id : fleet_.hollow_ids()) resident += proc_figures(id).resident_mb;
+    put("hollow_all_cpu_percent", hollow_ms / ms * 100);
+    put("hollow_all_resident_mb", resident);
+}
+
+// What one publish costs beside the rest; nobody is asked anything but that.
+void MembersRun::cost_of_publishes() {
+    constexpr int count = 4;
+    constexpr double apart_ms = 2500;
+    const auto window = open();
+    int done = 0;
+    for (int i = 0; i < count; ++i) {
+        const double next = members::boot_now() + apart_ms;
+        done += fleet_.publish(leader_).status == 200 ? 1 : 0;
+        fleet_.run_for(next - members::boot_now());
+    }
+    const auto roles = close(window);
+    if (done == 0) return miss("no publish was agreed");
+    const double seconds = (members::boot_now() - window.from) / 1000;
+    for (const auto& [role, used] : roles) {
+        const double cpu = std::max(0.0, used.cpu_ms - rest_cpu_[role] * seconds) / done;
+        const double bytes = std::max(0.0, used.bytes - rest_bytes_[role] * seconds) / done;
+        put("publish_" + role + "_cpu_ms", cpu);
+        put("publish_" + role + "_bytes", bytes);
+        put("publish_every_28_s_" + role + "_cpu_percent", (rest_cpu_[role] + cpu / publish_every_s) / 10);
+        put("publish_every_28_s_" + role + "_bytes_per_s", rest_bytes_[role] + bytes / publish_every_s);
+    }
+}
+
+// One publish; when all in these zones act on it and when it is settled, in ms from when it was handed in.
+// `again`: a publish that is not agreed is handed in again, in the same time.
+std::optional<std::pair<double, double>> MembersRun::publish_once(int at, const std::set<int>& zones,
+                                                                  double most_ms, bool again) {
+    const double from = members::boot_now();
+    const auto left = [&] { return from + most_ms - members::boot_now(); };
+    std::uint64_t version = 0;
+    do {
+        version = MemberFleet::version_in(fleet_.publish(at));
+        if (version == 0) fleet_.run_for(50);
+    } while (version == 0 && again && left() > 0);
+    if (version == 0) return std::nullopt;
+    if (!fleet_.await([&] { return fleet_.active_at(version, zones) > 0; }, std::max(0.0, left())))
+        return std::nullopt;
+    const double active = fleet_.active_at(version, zones) - from;
+    if (!fleet_.await([&] { return fleet_.settled_at(at, version) > 0; }, std::max(0.0, left())))
+        return std::nullopt;
+    return std::pair{active, fleet_.settled_at(at, version) - from};
+}
+
+void MembersRun::publish_times() {
+    std::vector<double> active, settled;
+    for (int i = 0; i < publishes; ++i)
+        if (const auto came = publish_once(leader_, MemberFleet::all_zones(), 10000, false)) {
+            active.push_back(came->first);
+            settled.push_back(came->second);
+        }
+    if (active.size() < publishes)
+        miss(std::to_string(publishes - static_cast<int>(active.size())) + " of " +
+             std::to_string(publishes) + " publishes were not settled in 10 s");
+    if (active.empty()) return;
+    put("publish_active_p50_ms", median(active));
+    put("publish_settled_p50_ms", median(settled));
+}
+
+void MembersRun::burst() {
+    const double from = members::boot_now();
+    const int done = fleet_.burst(leader_);
+    put("burst_agreed_share", static_cast<double>(done) / MemberFleet::lists);
+    if (done < MemberFleet::lists)
+        miss(std::to_string(MemberFleet::lists - done) + " of a burst of " +
+             std::to_string(MemberFleet::lists) + " publishes were refused");
+    if (done == 0) return;
+    const auto last = fleet_.agreed(leader_);
+    if (!fleet_.await([&] { return fleet_.active_at(last, MemberFleet::all_zones()) > 0; }, 10000))
+        return miss("the burst was not active everywhere in 10 s");
+    put("burst_active_ms", fleet_.active_at(last, MemberFleet::all_zones()) - from);
+    put("burst_active_each_ms", (fleet_.active_at(last, MemberFleet::all_zones()) - from) / done);
+}
+
+Point MembersRun::play() {
+    const double begun = members::boot_now();
+    fleet_.start_all();
+    if (!ready(60000, "60 s after the start")) return point_;
+    put("start_until_leases_ms", members::boot_now() - begun);
+    fleet_.run_for(3000);
+    rest();
+    fleet_.watch(true);
+    publish_times();
+    fleet_.watch(false);
+    cost_of_publishes();
+    fleet_.watch(true);
+    burst();
+    if (const int leader = fleet_.leader(); leader != leader_)
+        miss("the leader changed while nothing failed");
+    return point_;
+}
+
+}  // namespace
+
+AxisRun run_members(const ScaleOptions& options) {
+    AxisRun run;
+    run.axis = "members";
+    run.command = options.command;
+    const auto sizes = options.sizes.empty() ? std::vector<double>{5, 25, 100, 300, 860} : options.sizes;
+    for (const auto size : sizes) judge(size, options);
+    for (const auto size : sizes) run.points.push_back(MembersRun(options, size).play());
+    return run;
+}
+
+}  // namespace brasslift::lab
--- a/src/lang/compile_members.cpp
+++ b/src/lang/compile_members.cpp
@@ -39,7 +39,7 @@
     if (voters != 3 && voters != 5)
         error(places_.of(m), std::to_string(voters) + " members have a vote",
               "write voter: ON for 3 or for 5 of them");
-    constexpr int most_members = 200;
+    constexpr int most_members = 1000;
     if (m.member_size() > most_members)
         error(places_.of(m.member(most_members)), "more than " + std::to_string(most_members) + " members",
               "remove some");
--- a/src/members/node.cpp
+++ b/src/members/node.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t most_waiting = 512, most_waiting_bytes = 16 << 20, most_call_bytes = 4 << 20;
 constexpr http::Limits limits{8 * 1024, 12 << 20};
 constexpr const char* path = "/members/frames";
+constexpr int unanswered = 0;  // a call that never arrived
 
 }  // namespace
 
@@ -129,7 +130,8 @@
 // What a step of the member came to.
 void Node::after() {
     for (auto& [to, frame] : member_.take_outgoing())
-        if (const auto link = links_.find(to); link != links_.end()) link->second->put(frame);
+        if (const auto link = links_.find(to); link != links_.end() && parted_.count(to) == 0)
+            link->second->put(frame);
     if (const auto news = member_.take_list_news(); !news.empty() && hear_list_)
         hear_list_(news, member_.word().rev());
     if (member_.acting() != told_) {
@@ -221,6 +223,7 @@
             int status = http::status_of(fault);
             if (fault == http::Fault::none) status = take(c.parser.take());
             open = fault == http::Fault::none;
+            if (status == unanswered) continue;
             const auto text = http::write_response(status, {}, "");
             // An answer is one short line and the peer waits for it: it finds room, or the peer hangs.
             open = c.socket.write(text).count == text.size() && open;
@@ -246,6 +249,7 @@
     if (envelope.format() != format_version) return refuse(426, &figures_.other_format);
     if (envelope.to() != setup_.self || links_.count(envelope.from()) == 0)
         return refuse(403, &figures_.strangers);
+    if (parted_.count(envelope.from()) != 0) return unanswered;
     if (!known_life(envelope)) return refuse(409, &figures_.doubles);
     for (const auto& frame : envelope.frame()) member_.receive(envelope.from(), frame, boot_now());
     after();
--- a/src/members/node.hpp
+++ b/src/members/node.hpp
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "client/caller.hpp"
@@ -71,6 +72,9 @@
     runtime::Task<PublishEnd> publish(v1::Version version, std::uint64_t base);
     // Who is to have a vote; its end is that this is agreed, not that it has come about.
     runtime::Task<PublishEnd> set_voters(std::vector<std::string> names);
+    // Planted by the lab, as where a network is parted; nobody in a dispatcher. Nothing is said to these any
+    // more, and their calls are not answered.
+    void part_from(std::set<Id> peers) { parted_ = std::move(peers); }
 
     struct Figures {
         std::uint64_t refused_calls = 0, other_cluster = 0, other_format = 0, strangers = 0, doubles = 0;
@@ -106,6 +110,7 @@
         double heard_at = 0;
     };
     std::map<Id, Life> lives_;
+    std::set<Id> parted_;
     Figures figures_;
     std::string why_;
     bool told_double_ = false, told_lease_ = true;
