Measure members under faults: voters, the leader, a tenth, a zone, two halves

A scale run of members said what they cost at rest and under publishes, not what a fault of theirs does. Now a voter and the leader are killed, a tenth of the members is restarted at once, a zone goes and two halves are parted; each time a publish is handed in, and what is told is when it is active and settled, which share of the members had no lease and for how long, and how soon all are back.

--- a/src/lab/scale_members.cpp
+++ b/src/lab/scale_members.cpp
@@ -3,6 +3,13 @@
 // At rest, the leader's, a voter's (the median of the others) and a dispatcher's figures are the kernel's,
 // over the stated seconds; nobody asks them anything meanwhile. Bytes are TCP payload, in and out. What a
 // publish every 28 s costs is computed: at rest, and a 28th part of what one publish was measured to cost.
+//
+// Of each fault: which share of those that run was without a lease at some time and for how long at most,
+// when a publish handed in with the fault's first instant is active with all who can hear of it and when it
+// is settled, and how long after the fault's end all have a lease again. A process that was killed counts as
+// one that does not run, but for those of the tenth. The zone that goes has a voter that does not lead. The
+// halves are two zones of five, with as many voters as leave the others a majority, and the rest with the
+// leader.
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -19,8 +26,8 @@
 
 constexpr double publish_every_s = 28;
 constexpr int publishes = 5;
-// Of a hollow member for each member that it knows, of each process, of a real one beside that; measured.
-constexpr double pair_bytes = 2600, process_bytes = 12e6;
+// What a hollow member takes for each member that it knows, and a process by itself; as measured, rounded up.
+constexpr double pair_bytes = 2700, process_bytes = 14e6;
 
 double median(std::vector<double> values) {
     if (values.empty()) return 0;
@@ -74,6 +81,7 @@
         std::map<pid_t, TcpBytes> bytes;
         double hollow_cpu_ms = 0;
     };
+    double fault_ms() const { return std::clamp(options_.seconds * 600, 1500.0, 6000.0); }
     void put(const std::string& name, double value) { point_.measures.push_back({name, value}); }
     void miss(const std::string& what) { point_.note += (point_.note.empty() ? "" : "; ") + what; }
     bool ready(double most_ms, const std::string& when);
@@ -85,6 +93,20 @@
     void cost_of_publishes();
     void publish_times();
     void burst();
+    struct Fault {
+        std::string name;
+        double ms = 0;                     // from its beginning to its end, at least
+        std::function<void()> begin, end;  // no end: it ends by itself
+        bool counts_return = false;        // leases are looked at until all have one again
+        std::set<int> hearing;             // the zones that can hear of a publish
+        int publisher = 0;
+    };
+    void suffer(const Fault& fault);
+    void kill_one(const std::string& name, int at);
+    void restart_tenth();
+    void lose_zone();
+    void part_halves();
+    int last_follower() const;  // of the voters that do not lead
     std::optional<std::pair<double, double>> publish_once(int at, const std::set<int>& zones, double most_ms,
                                                           bool again);
 
@@ -181,7 +203,7 @@
 // What one publish costs beside the rest; nobody is asked anything but that.
 void MembersRun::cost_of_publishes() {
     constexpr int count = 4;
-    constexpr double apart_ms = 2500;
+    const double apart_ms = std::min(2500.0, options_.seconds * 250);
     const auto window = open();
     int done = 0;
     for (int i = 0; i < count; ++i) {
@@ -252,12 +274,105 @@
     put("burst_active_each_ms", (fleet_.active_at(last, MemberFleet::all_zones()) - from) / done);
 }
 
+int MembersRun::last_follower() const {
+    const int last = fleet_.voters() - 1;
+    return last == leader_ ? last - 1 : last;
+}
+
+void MembersRun::suffer(const Fault& fault) {
+    const auto name = fault.name + '_';
+    fleet_.look_anew();
+    const double from = members::boot_now();
+    fault.begin();
+    if (const auto came = publish_once(fault.publisher, fault.hearing, 15000, true)) {
+        put(name + "publish_active_ms", came->first);
+        put(name + "publish_settled_ms", came->second);
+    } else {
+        miss(fault.name + ": a publish was not settled in 15 s");
+    }
+    fleet_.run_for(from + fault.ms - members::boot_now());
+    auto gaps = fleet_.gaps();
+    const double ended = members::boot_now();
+    if (fault.end) fault.end();
+    if (!ready(40000, "40 s after " + fault.name)) return;
+    put(name + "back_ms", members::boot_now() - (fault.end ? ended : from));
+    if (fault.counts_return) gaps = fleet_.gaps();
+    put(name + "no_lease_share", static_cast<double>(gaps.without_ever) / gaps.members);
+    put(name + "no_lease_longest_ms", gaps.longest_ms);
+}
+
+void MembersRun::kill_one(const std::string& name, int at) {
+    Fault fault;
+    fault.name = name;
+    fault.ms = fault_ms();
+    fault.begin = [this, at] { fleet_.kill(at); };
+    fault.end = [this, at] { fleet_.start(at); };
+    fault.hearing = MemberFleet::all_zones();
+    fault.publisher = at == leader_ ? last_follower() : leader_;
+    suffer(fault);
+}
+
+void MembersRun::restart_tenth() {
+    if (fleet_.groups() == 0) return miss("no hollow members, of which a tenth could be restarted");
+    Fault fault;
+    fault.name = "tenth_restarted";
+    fault.begin = [this] {
+        const double since = members::boot_now();
+        fleet_.kill_group(0);
+        fleet_.start_group(0, since);
+    };
+    fault.counts_return = true;
+    fault.hearing = MemberFleet::all_zones();
+    fault.publisher = leader_;
+    suffer(fault);
+}
+
+void MembersRun::lose_zone() {
+    const int zone = fleet_.zone_of(last_follower());
+    Fault fault;
+    fault.name = "zone_gone";
+    fault.ms = fault_ms();
+    fault.begin = [this, zone] {
+        for (int i = 0; i < fleet_.real(); ++i)
+            if (fleet_.zone_of(i) == zone) fleet_.kill(i);
+        for (int i = 0; i < fleet_.groups(); ++i)
+            if (fleet_.zone_of_group(i) == zone) fleet_.kill_group(i);
+    };
+    fault.end = [this] {
+        for (int i = 0; i < fleet_.real(); ++i) fleet_.start(i);
+        for (int i = 0; i < fleet_.groups(); ++i) fleet_.start_group(i);
+    };
+    fault.hearing = MemberFleet::all_zones();
+    fault.publisher = leader_;
+    suffer(fault);
+}
+
+void MembersRun::part_halves() {
+    std::set<int> away;
+    for (int zone = std::min(fleet_.voters(), MemberFleet::zones) - 1; zone >= 0; --zone)
+        if (zone != fleet_.zone_of(leader_) && static_cast<int>(away.size()) < fleet_.voters() / 2)
+            away.insert(zone);
+    for (int zone = MemberFleet::zones - 1; zone >= fleet_.voters() && away.size() < 2; --zone)
+        away.insert(zone);
+    constexpr double least_ms = 5000;  // a lease ends meanwhile
+    Fault fault;
+    fault.name = "halves_parted";
+    fault.ms = std::max(least_ms, fault_ms());
+    fault.begin = [this, away] { fleet_.part(away); };
+    fault.end = [this] { fleet_.part({}); };
+    fault.counts_return = true;
+    for (const int zone : MemberFleet::all_zones())
+        if (away.count(zone) == 0) fault.hearing.insert(zone);
+    fault.publisher = leader_;
+    suffer(fault);
+}
+
 Point MembersRun::play() {
     const double begun = members::boot_now();
     fleet_.start_all();
     if (!ready(60000, "60 s after the start")) return point_;
     put("start_until_leases_ms", members::boot_now() - begun);
-    fleet_.run_for(3000);
+    fleet_.run_for(std::min(3000.0, options_.seconds * 1000));
     rest();
     fleet_.watch(true);
     publish_times();
@@ -265,8 +380,12 @@
     cost_of_publishes();
     fleet_.watch(true);
     burst();
-    if (const int leader = fleet_.leader(); leader != leader_)
-        miss("the leader changed while nothing failed");
+    if (fleet_.leader() != leader_) miss("the leader changed while nothing failed");
+    if (ready(20000, "before the faults")) kill_one("voter_killed", last_follower());
+    if (leader_ >= 0) kill_one("leader_killed", leader_);
+    if (leader_ >= 0) restart_tenth();
+    if (leader_ >= 0) lose_zone();
+    if (leader_ >= 0) part_halves();
     return point_;
 }
 
