Take what falls at its worst, and call a line of two points rough

Cause: a trial of all four axes at small sizes carried falling noise on to 0 and called lines of two runs lines. Change: what does not grow is taken at its worst and passes no bound; two points give a rough line; small shares show their digits.

--- a/src/lab/capacity_page.cpp
+++ b/src/lab/capacity_page.cpp
@@ -97,7 +97,8 @@
         "constant "
         "of the code, worked out of constants, measured between two runs, or carried on beyond the largest "
         "run "
-        "(by a line; by a curve, where growth was steeper); *beyond* says how many times beyond.\n\n" +
+        "(by a line, rough where a run misses it by over a tenth or there are two alone; by a curve, where "
+        "growth was steeper); *beyond* says how many times beyond.\n\n" +
         table_head({"share", "", "of", "limit", "bound", "at the size", "passed from", "by", "beyond",
                     "carried by"});
     const auto limits = limits_of(size, measured);
@@ -112,7 +113,7 @@
         const bool is_run = limit.largest > 0;
         out += row({!limit.passes ? "?"
                     : never       ? "none"
-                                  : (limit.passes->at_most ? "<= " : "") + two_digits(limit.share()),
+                                  : (limit.passes->at_most ? "<= " : "") + figure(limit.share()),
                     limit.is_passed() ? "**PASSED**" : "", limit.of, limit.what,
                     limit.bound > 0 || limit.is_known() ? figure(limit.bound) + ' ' + limit.unit : "-",
                     limit.value ? figure(limit.value) : "-", figure(limit.passes),
--- a/src/lab/curve.cpp
+++ b/src/lab/curve.cpp
@@ -56,7 +56,8 @@
 }
 
 Basis Curve::line_basis() const {
-    return fit_.residual > straight_residual ? Basis::rough_line : Basis::line;
+    // Two points miss no line.
+    return points_.size() < 3 || fit_.residual > straight_residual ? Basis::rough_line : Basis::line;
 }
 
 std::optional<Carried> Curve::at(double size) const {
@@ -71,7 +72,7 @@
         return Carried{v0 + (above->second - v0) * (size - s0) / (above->first - s0), Basis::measured, false};
     }
     // What does not grow is taken at its worst.
-    if (fit_.exponent <= 0) return Carried{most_, straight, false};
+    if (fit_.exponent <= 0 || fit_.slope <= 0) return Carried{most_, straight, false};
     const auto& [last_size, last] = points_.back();
     if (fit_.exponent > steep_exponent && size > last_size)
         return Carried{floor_ + (last - floor_) * std::pow(size / last_size, fit_.exponent), Basis::curve,
@@ -91,11 +92,10 @@
     }
     if (points_.size() < 2) return std::nullopt;
     const auto& [last_size, last] = points_.back();
-    if (fit_.exponent <= 0) return Carried{never, straight, false};
+    if (fit_.exponent <= 0 || fit_.slope <= 0) return Carried{never, straight, false};
     if (fit_.exponent > steep_exponent)
         return Carried{last_size * std::pow((bound - floor_) / (last - floor_), 1 / fit_.exponent),
                        Basis::curve};
-    if (fit_.slope <= 0) return Carried{never, straight, false};
     // No point so far has passed it, whatever the line says.
     return Carried{std::max(last_size, (bound - fit_.intercept) / fit_.slope), straight, false};
 }
--- a/src/lab/curve.hpp
+++ b/src/lab/curve.hpp
@@ -18,7 +18,7 @@
     worked_out,  // of constants and the size alone
     measured,    // between points that were run
     line,        // carried on
-    rough_line,  // the same, though a point misses it by more than straight_residual
+    rough_line,  // the same, though a point misses it by more than straight_residual, or of two points alone
     curve,       // carried on by more than a line
     did_not_run  // a larger point did not come off
 };
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -98,6 +98,19 @@
     const auto curve = curve_of([](double n) { return n == 100 ? 20.5 : 20.0; });
     EXPECT_EQ(curve.at(1e6)->value, 20.5);
     EXPECT_TRUE(std::isinf(curve.crossing(21)->value));
+    EXPECT_EQ(curve.crossing(21)->basis, Basis::line);
+}
+
+TEST(Curve, WhatFallsIsTakenAtItsWorstAndNeverPasses) {
+    const auto curve = curve_of([](double n) { return 30 - n / 100; });
+    EXPECT_EQ(curve.at(1e6)->value, 29.9);
+    EXPECT_TRUE(std::isinf(curve.crossing(31)->value));
+}
+
+TEST(Curve, TwoPointsAreARoughLine) {
+    const auto curve = curve_of([](double n) { return 2 * n; }, {10, 20});
+    EXPECT_EQ(curve.at(100)->value, 200);
+    EXPECT_EQ(curve.at(100)->basis, Basis::rough_line);
 }
 
 TEST(Curve, OnePointSaysNothingOfOtherSizes) {
