Hold all hosts in a dense table; wake destinations in the core as messages come

Change: cluster::Table (56 bytes a record and three indexes by open addressing; whole lists staged and committed at once, swept in slices; no I/O), Cluster keeps it and tells the pool and the core of those alone whose destinations are awake; up to 1,024 hosts all are. The core wakes a destination for a message and lets it sleep after a minute's rest; the module's state of it comes back by its Listing (outage, told wait).

--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -27,6 +28,7 @@
 enum class Weights { off, rough, nominal };      // what Listing::weight tells of the shared limit
 enum class Fade { line, halves };                // how worth falls after the aim
 enum class ListingState { ready, draining, gone };
+enum class Outage { none, endpoint, destination };  // what did not answer when it was last sent to
 
 struct ClassSettings {
     double deadline_ms = 0;
@@ -81,6 +83,10 @@
     std::uint8_t kind = 0;
     ListingState state = ListingState::ready;
     double weight = 0;
+    // Of an endpoint that is told of anew, how it stood before: see Standing.
+    Outage outage = Outage::none;
+    Time failed_at = -std::numeric_limits<Time>::infinity();
+    Time wait_until = -std::numeric_limits<Time>::infinity();  // a told wait's end
 };
 
 struct ListUpdate {
@@ -171,6 +177,16 @@
 
 using Action = std::variant<Attempt, Refuse, Fail, SetTimer, Subscribe, Close, Log>;
 
+// How an endpoint stands at the moment.
+struct Standing {
+    bool rests = false;            // its destination has no message, and nothing was sent there of late
+    bool avoided = true;           // not in use by the list, or judged to be out
+    double window = 0;             // the calls at a time that may be out
+    Outage outage = Outage::none;  // what has not answered well since it last failed
+    Time failed_at = -std::numeric_limits<Time>::infinity();
+    Time wait_until = -std::numeric_limits<Time>::infinity();  // a told wait's end
+};
+
 // ---- the sender -----------------------------------------------------------------------------------------
 
 class Sender {
@@ -185,12 +201,10 @@
     void handle(Time now, const Event& event, std::vector<Action>& actions);
 
     // For whoever watches; they change nothing. Until when a message that has just failed sleeps before it
-    // may be sent again: a time in the past where it does not. The calls at a time that a host's window
-    // allows, 0 where it is not known. Whether a host is left out: not in use by the list, or judged to be
-    // out.
+    // may be sent again: a time in the past where it does not. How an endpoint stands; as by default where it
+    // is not known.
     Time sleeps_until(MessageId id) const;
-    double window(EndpointId id) const;
-    bool avoids(EndpointId id) const;
+    Standing standing(EndpointId id) const;
 
     // All that it knows, for a process that takes its place, and back into one with the same settings that
     // has been told nothing yet. False: the bytes are not that, and this sender is of no use any more.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -13,6 +13,7 @@
 
 #include "brasslift/sender.hpp"
 #include "state/archive.hpp"
+#include "state/places.hpp"
 
 namespace brasslift {
 namespace {
@@ -81,7 +82,7 @@
 
 struct Endpoint {
     EndpointId id;
-    int lane = -1, flying = 0, warm = 0;  // no lane: the place is free
+    int lane = -1, flying = 0, warm = 0;
     std::uint16_t zone = 0;
     ListingState state = ListingState::gone;
     Time gone_at = never;
@@ -106,10 +107,11 @@
 using Waiting = std::set<std::pair<Time, MessageId>>;
 
 struct Destination {
-    std::vector<int> lanes;
+    std::uint16_t number = 0;
     std::vector<Waiting> ready;  // by class, and within and beyond the tenant's share
-    std::size_t waiting = 0;
-    double arrivals = 0;  // a millisecond, of late
+    std::vector<int> lanes = {};
+    std::size_t waiting = 0, held = 0;  // held: also those that sleep, wait for a turn or are out
+    double arrivals = 0;                // a millisecond, of late
     Time arrived = -never, wake = never;
 };
 
@@ -176,7 +178,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
         archive(asked_, ask_failures_, slots_used_, sick_flying_, endpoints_, lanes_, by_id_, timer_name_);
-        archive(free_endpoints_, free_lanes_, destinations_, numbers_, messages_, keys_, calls_, tenants_);
+        archive(destinations_, numbers_, messages_, keys_, calls_, tenants_);
         archive(overall_, tables_, eager_, backlog_, last_call_, timer_order_, timers_, armed_, stops_at_);
     }
 
@@ -189,14 +191,20 @@
         arm();
     }
     Time sleeps_until(MessageId id) const { return messages_.count(id) ? messages_.at(id).wakes : 0; }
-    double window(EndpointId id) const {
-        return by_id_.count(id) == 0 ? 0 : lanes_[endpoints_[by_id_.at(id)].lane].window;
-    }
-    bool avoids(EndpointId id) const {
+    Standing standing(EndpointId id) const {
         const auto known = by_id_.find(id);
-        if (known == by_id_.end()) return true;
+        if (known == by_id_.end()) return {};
         const auto& e = endpoints_[known->second];
-        return e.state != ListingState::ready || e.health.out || lanes_[e.lane].health.out;
+        const auto& lane = lanes_[e.lane];
+        const auto bad = [this](const Health& h) { return h.out || cold(h) || h.doubt < never; };
+        const bool rests =
+            destinations_[lane.destination].held == 0 && lane.last_send + window_idle_ms <= now_;
+        const bool avoided = e.state != ListingState::ready || e.health.out || lane.health.out;
+        const auto outage = bad(lane.health) ? Outage::destination
+                            : bad(e.health)  ? Outage::endpoint
+                                             : Outage::none;
+        const Time failed_at = std::max(e.health.failed_sent, lane.health.failed_sent);
+        return {rests, avoided, lane.window, outage, failed_at, lane.wait_until};
     }
 
 private:
@@ -216,39 +224,27 @@
 
     // Endpoints come under new ids without end. What has long been gone leaves its place to another.
     void forget_gone() {
-        for (std::size_t i = 0; i < endpoints_.size(); ++i) {
-            auto& e = endpoints_[i];
-            if (e.state != ListingState::gone || e.lane < 0) {
-                e.gone_at = never;
-                continue;
-            }
-            e.gone_at = std::min(e.gone_at, now_);
-            if (e.flying > 0 || now_ < e.gone_at + forget_ms) continue;
+        std::erase_if(by_id_, [this](const auto& known) {
+            auto& e = endpoints_[known.second];
+            e.gone_at = e.state == ListingState::gone ? std::min(e.gone_at, now_) : never;
+            if (e.flying > 0 || now_ < e.gone_at + forget_ms) return false;
             auto& lane = lanes_[e.lane];
-            std::erase(lane.endpoints, static_cast<int>(i));
+            std::erase(lane.endpoints, known.second);
             if (lane.endpoints.empty()) {
-                std::erase(destinations_[lane.destination].lanes, e.lane);
-                free_lanes_.push_back(e.lane);
-                lane = {};
+                auto& d = destinations_[lane.destination];
+                std::erase(d.lanes, e.lane);
+                if (d.lanes.empty() && d.held == 0 && numbers_.erase(d.number) > 0)
+                    destinations_.remove(lane.destination);
+                lanes_.remove(e.lane);
             }
-            by_id_.erase(e.id);
-            e = {};
-            free_endpoints_.push_back(static_cast<int>(i));
-        }
-    }
-
-    template <class Item>
-    static int place_in(std::vector<Item>& all, std::vector<int>& free) {
-        if (free.empty()) free.push_back((all.emplace_back(), static_cast<int>(all.size()) - 1));
-        const int place = free.back();
-        free.pop_back();
-        return place;
+            endpoints_.remove(known.second);
+            return true;
+        });
     }
 
     void list(const Listing& line) {
         const auto [known, fresh] = by_id_.try_emplace(line.endpoint, -1);
-        if (fresh) known->second = place_in(endpoints_, free_endpoints_);
-        const int index = known->second;
+        const int index = fresh ? known->second = endpoints_.add() : known->second;
         if (fresh) {
             endpoints_[index].id = line.endpoint;
             endpoints_[index].liking = draw(0, 0.5);
@@ -256,7 +252,7 @@
             auto& lanes = destinations_[destination].lanes;
             const bool apart = line.kind < s_.kinds.size() && s_.kinds[line.kind].routes_apart;
             if (lanes.empty() || apart) {
-                lanes.push_back(place_in(lanes_, free_lanes_));
+                lanes.push_back(lanes_.add());
                 auto& lane = lanes_[lanes.back()];
                 lane.destination = destination;
                 lane.kind = line.kind;
@@ -269,14 +265,23 @@
         endpoint.state = line.state;
         endpoint.zone = line.zone;
         auto& lane = lanes_[endpoint.lane];
+        // What was known before it slept: an outage then is followed by a cold return now.
+        lane.wait_until = std::max(lane.wait_until, line.wait_until);
+        for (auto* const h : {&endpoint.health, &lane.health}) {
+            if (!fresh || line.outage < (h == &lane.health ? Outage::destination : Outage::endpoint))
+                continue;
+            tell(*h, line.failed_at, false, 0);
+            h->out = true;
+        }
         if (s_.weights != Weights::off && line.weight > 0 && std::isfinite(line.weight))
             lane.limit = line.weight;
         touch(lane.destination);
     }
 
     int destination_of(std::uint16_t number) {
-        const auto [it, fresh] = numbers_.try_emplace(number, static_cast<int>(destinations_.size()));
-        if (fresh) destinations_.emplace_back().ready.resize(2 * s_.classes.size());
+        const auto [it, fresh] = numbers_.try_emplace(number, -1);
+        const std::vector<Waiting> ready(2 * s_.classes.size());
+        if (fresh) destinations_[it->second = destinations_.add()] = {number, ready};
         return it->second;
     }
 
@@ -466,6 +471,7 @@
         m.message_class = a.message_class;
         m.destination = destination_of(a.destination);
         auto& d = destinations_[m.destination];
+        ++d.held;
         d.arrivals = arrivals(d) + 1 / arrivals_ms;
         d.arrived = now_;
         m.due = a.due;
@@ -563,7 +569,6 @@
     void pump() {
         while (!eager_.empty() && slots_used_ < s_.slots) {
             Pick best;
-            int best_destination = -1;
             for (auto it = eager_.begin(); it != eager_.end();) {
                 const Pick pick = choose(*it);
                 if (pick.endpoint < 0 && pick.hopeless != nullptr) {
@@ -575,13 +580,10 @@
                     it = eager_.erase(it);
                     continue;
                 }
-                if (pick.score > best.score) {
-                    best = pick;
-                    best_destination = *it;
-                }
+                if (pick.score > best.score) best = pick;
                 ++it;
             }
-            if (best_destination >= 0) send(best.message, best.endpoint);
+            if (best.endpoint >= 0) send(best.message, best.endpoint);
         }
     }
 
@@ -648,11 +650,8 @@
         Time again = never;
         for (const int e : lanes_[l].endpoints) {
             const Time at = may_send(lanes_[l], endpoints_[e], m);
-            if (at > now_) {
-                again = std::min(again, at);
-                continue;
-            }
-            const double rank = rank_of(endpoints_[e], m);
+            if (at > now_) again = std::min(again, at);
+            const double rank = at > now_ ? never : rank_of(endpoints_[e], m);
             if (rank < best_rank) {
                 best = e;
                 best_rank = rank;
@@ -691,9 +690,8 @@
             at = std::max(at, now_ + (1 - lane.tokens) / pace_per_ms(lane) + 0.1);
         if (now_ - lane.health.doubt > shut_ms) tell(lane.health, lane.health.doubt, false, 0);
         at = std::max(at, budget_at(lane, e));
-        if (e.health.out || silent(lane, e.health)) {
+        if (e.health.out || silent(lane, e.health))
             at = std::max(at, e.last_used + std::max(trial_gap_ms, e.flying > 0 ? patience : 0));
-        }
         return std::max(at, may_repeat(lane, e, m));
     }
 
@@ -955,6 +953,7 @@
     void close(Message& m) {
         if (m.state == State::ready) leave_ready(m);
         const auto key = m.key;
+        --destinations_[m.destination].held;
         messages_.erase(m.id);
         if (key != 0) pass_turn(key);
     }
@@ -1038,10 +1037,9 @@
     std::vector<Action>* out_ = nullptr;
     bool asked_ = false, backlog_here_ = false;
     int ask_failures_ = 0, slots_used_ = 0, sick_flying_ = 0;
-    std::vector<Endpoint> endpoints_;
-    std::vector<Lane> lanes_;
-    std::vector<int> free_endpoints_, free_lanes_;  // places of what was forgotten
-    std::vector<Destination> destinations_;
+    state::Places<Endpoint> endpoints_;
+    state::Places<Lane> lanes_;
+    state::Places<Destination> destinations_;
     std::map<EndpointId, int> by_id_;
     std::map<std::uint16_t, int> numbers_;
     std::unordered_map<MessageId, Message> messages_;
@@ -1067,8 +1065,7 @@
     choice_->handle(now, event, actions);
 }
 Time Sender::sleeps_until(MessageId id) const { return choice_->sleeps_until(id); }
-double Sender::window(EndpointId id) const { return choice_->window(id); }
-bool Sender::avoids(EndpointId id) const { return choice_->avoids(id); }
+Standing Sender::standing(EndpointId id) const { return choice_->standing(id); }
 std::string Sender::save() const { return state::pack(*choice_); }
 bool Sender::load(const std::string& bytes) { return state::unpack(*choice_, bytes); }
 
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
-#include <set>
 #include <utility>
 
 #include "http/parser.hpp"
@@ -16,6 +15,11 @@
 constexpr std::size_t most_object = 8 * 1024 * 1024;
 constexpr http::Limits watch_limits{16 * 1024, most_object};
 constexpr std::size_t most_hosts = 20000;
+// Records that are worked off after a whole list before the loop has its turn: about a millisecond.
+constexpr std::size_t sweep_slice = 8192;
+// Parts of the memory limit that the table and what is awake may take, and what a host that is awake takes in
+// all (measured: docs/CAPACITY.md).
+constexpr double table_share = 0.25, awake_share = 0.25, awake_bytes = 8000;
 
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
@@ -74,58 +78,168 @@
     return apply(known);
 }
 
+upstream::HostState Cluster::state_of(const HostView& host) const {
+    const auto& line = host.listing;
+    upstream::HostState state;
+    state.id = line.endpoint;
+    state.address = host.address;
+    state.destination = line.destination;
+    state.apart = line.kind < config_.settings.kinds.size() && config_.settings.kinds[line.kind].routes_apart;
+    state.ready = line.state == ListingState::ready && !(keeps_out_ && keeps_out_(std::string(host.uid)));
+    state.gone = line.state == ListingState::gone;
+    state.wait_until = line.wait_until;
+    return state;
+}
+
+void Cluster::tell_host(const HostView& host, std::vector<Listing>& lines) {
+    const auto state = state_of(host);
+    pool_.relist(state);
+    lines.push_back(host.listing);
+    if (host.listing.state == ListingState::ready && !state.ready)
+        lines.back().state = ListingState::draining;
+}
+
+// As if the list had said that it is gone.
+void Cluster::tell_gone(const HostView& host, std::vector<Listing>& lines) {
+    auto left = host;
+    left.listing.state = ListingState::gone;
+    pool_.relist(state_of(left));
+    Listing line;
+    line.endpoint = host.listing.endpoint;
+    line.destination = host.listing.destination;
+    line.state = ListingState::gone;
+    lines.push_back(line);
+}
+
+bool Cluster::table_full() const {
+    return static_cast<double>(table_.bytes()) > config_.memory_mb * 1e6 * table_share;
+}
+
+// False: there is no room for it.
+bool Cluster::take_line(const News::Line& line, std::vector<Listing>& lines) {
+    const auto before = table_.find(line.uid);
+    if (before == no_slot && table_full()) return false;
+    // Under another destination it is another host.
+    if (before != no_slot) {
+        const auto was = *table_.at(before);
+        if (was.listing.destination != line.listing.destination) {
+            if (awake_.count(was.listing.destination) != 0) {
+                tell_gone(was, lines);
+                orphans_.emplace_back(scheduler_.now(), was.listing.endpoint);
+            }
+            table_.renumber(before);
+        }
+    }
+    std::vector<Slot> left;
+    const auto slot = table_.put(line.uid, line.address, line.listing, scheduler_.now(), left);
+    if (slot == no_slot) return true;
+    for (const auto other : left)
+        if (const auto host = *table_.at(other); awake_.count(host.listing.destination) != 0)
+            tell_gone(host, lines);
+    all_awake_ = all_awake_ && table_.size() <= most_all_awake;
+    const auto host = *table_.at(slot);
+    if (all_awake_) awake_.insert(host.listing.destination);
+    if (awake_.count(host.listing.destination) != 0) tell_host(host, lines);
+    return true;
+}
+
+bool Cluster::stage(const News::Line& line) {
+    if (table_full()) return false;
+    table_.stage(line.uid, line.address, line.listing);
+    return true;
+}
+
+void Cluster::finish_sweep() {
+    while (!table_.sweep(sweep_slice, scheduler_.now())) continue;
+}
+
+// The staged list holds from now on: what it changes for those that are awake. It costs what is awake; the
+// table's sweep does the rest, in slices.
+dispatch::Listed Cluster::commit() {
+    table_.commit();
+    dispatch::Listed listed;
+    listed.whole = true;
+    all_awake_ = table_.size() <= (all_awake_ ? most_all_awake : few_again);
+    if (all_awake_)
+        table_.each([this](const HostView& host, Time) { awake_.insert(host.listing.destination); });
+    std::vector<HostView> hosts, left;
+    std::vector<Slot> slots;
+    for (const auto destination : awake_) {
+        table_.left_of(destination, left);
+        table_.hosts_of(destination, slots);
+    }
+    for (const auto& host : left) {
+        tell_gone(host, listed.lines);
+        // Where its uid is another host's by now, the table does not remember this one's end.
+        if (table_.find(host.uid) != no_slot) orphans_.emplace_back(scheduler_.now(), host.listing.endpoint);
+    }
+    for (const auto slot : slots) hosts.push_back(*table_.at(slot));
+    // New ones in the order in which the list named them.
+    std::sort(hosts.begin(), hosts.end(),
+              [](const auto& a, const auto& b) { return a.listing.endpoint < b.listing.endpoint; });
+    for (const auto& host : hosts) tell_host(host, listed.lines);
+    return listed;
+}
+
 dispatch::Listed Cluster::apply(const News& news) {
     version_ = news.version;
+    finish_sweep();
     dispatch::Listed listed;
     listed.whole = news.whole;
+    bool fits = true;
     if (news.whole) {
-        std::set<std::string_view> named;
-        for (const auto& line : news.lines) named.insert(line.uid);
-        for (auto& [uid, host] : hosts_)
-            if (named.count(uid) == 0) leave(host, listed);
-    }
-    for (const auto& line : news.lines) {
-        const bool gone = line.listing.state == ListingState::gone;
-        auto found = hosts_.find(line.uid);
-        if (gone && found == hosts_.end()) continue;  // never heard of, or forgotten: nothing to undo
-        if (found == hosts_.end()) {
-            if (line.address.port == 0) continue;  // where it is, nobody has said
-            found = hosts_.emplace(line.uid, Known{}).first;
-            found->second.state.id = {++last_id_, 0};
-        }
-        auto& known = found->second;
-        auto& host = known.state;
-        if (line.address.port != 0) host.address = line.address;
-        host.destination = line.listing.destination;
-        host.apart = line.listing.kind < config_.settings.kinds.size() &&
-                     config_.settings.kinds[line.listing.kind].routes_apart;
-        known.listing = line.listing;
-        const bool kept_out = keeps_out_ && keeps_out_(line.uid);
-        host.ready = line.listing.state == ListingState::ready && !kept_out;
-        host.gone = gone;
-        known.gone_at = !gone ? runtime::never : std::min(known.gone_at, scheduler_.now());
-        // Word of who had the address before may come later than word of who has it now.
-        if (line.listing.state == ListingState::ready)
-            for (auto& [uid, other] : hosts_)
-                if (&other != &known && other.state.address == host.address) leave(other, listed);
-        pool_.relist(host);
-        listed.lines.push_back(line.listing);
-        listed.lines.back().endpoint = host.id;
-        if (line.listing.state == ListingState::ready && kept_out)
-            listed.lines.back().state = ListingState::draining;
+        table_.begin_whole();
+        for (const auto& line : news.lines) fits = fits && stage(line);
+        if (fits)
+            listed = commit();
+        else
+            table_.abort();
+        finish_sweep();
+    } else {
+        for (const auto& line : news.lines) fits = take_line(line, listed.lines) && fits;
     }
+    if (!fits && !std::exchange(full_told_, true))
+        runtime::log("cluster", "the list needs more than %.0f MB: what does not fit is left out",
+                     config_.memory_mb * table_share);
     return listed;
 }
 
-void Cluster::look_at(const std::string& uid, Known& known, dispatch::Listed& listed) {
-    if (known.state.gone || known.listing.state != ListingState::ready) return;
-    const bool ready = !keeps_out_(uid);
-    if (ready == known.state.ready) return;
-    known.state.ready = ready;
-    pool_.relist(known.state);
-    listed.lines.push_back(known.listing);
-    listed.lines.back().endpoint = known.state.id;
-    if (!ready) listed.lines.back().state = ListingState::draining;
+bool Cluster::has_room() const {
+    return static_cast<double>(pool_.known()) * awake_bytes < config_.memory_mb * 1e6 * awake_share;
+}
+
+void Cluster::wake(std::uint16_t destination, std::vector<Listing>& hosts) {
+    awake_.insert(destination);
+    std::vector<Slot> slots;
+    table_.hosts_of(destination, slots);
+    for (const auto slot : slots)
+        if (const auto host = *table_.at(slot); host.listing.state != ListingState::gone)
+            tell_host(host, hosts);
+}
+
+bool Cluster::sleep(std::uint16_t destination, const std::function<bool(Listing&)>& rest) {
+    if (!table_.swept()) return false;  // what the last list left is still to be told
+    std::vector<Slot> slots;
+    std::vector<Listing> lines;
+    table_.hosts_of(destination, slots);
+    for (const auto slot : slots) {
+        lines.push_back(table_.at(slot)->listing);
+        // One that has gone is forgotten first.
+        if (lines.back().state == ListingState::gone || !rest(lines.back())) return false;
+    }
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        lines[i].wait_until = std::max(lines[i].wait_until, pool_.wait_until(lines[i].endpoint));
+        table_.remember(slots[i], lines[i]);
+        pool_.forget(lines[i].endpoint);
+    }
+    if (!slots.empty()) awake_.erase(destination);
+    return !slots.empty();
+}
+
+// Hosts that sleep are looked at as they wake.
+void Cluster::look_at(const HostView& host, dispatch::Listed& listed) {
+    if (host.listing.state != ListingState::ready || awake_.count(host.listing.destination) == 0) return;
+    tell_host(host, listed.lines);
 }
 
 void Cluster::tell_again(dispatch::Listed listed) {
@@ -136,75 +250,87 @@
 
 void Cluster::look_again() {
     dispatch::Listed listed;
-    for (auto& [uid, known] : hosts_) look_at(uid, known, listed);
+    std::vector<Slot> slots;
+    for (const auto destination : awake_) table_.hosts_of(destination, slots);
+    for (const auto slot : slots) look_at(*table_.at(slot), listed);
     tell_again(std::move(listed));
 }
 
 void Cluster::look_again(const std::vector<std::string>& uids) {
     dispatch::Listed listed;
     for (const auto& uid : uids)
-        if (const auto found = hosts_.find(uid); found != hosts_.end()) look_at(uid, found->second, listed);
+        if (const auto slot = table_.find(uid); slot != no_slot) look_at(*table_.at(slot), listed);
     tell_again(std::move(listed));
 }
 
-ClusterState Cluster::save() const {
-    ClusterState state{{}, last_id_, version_, heard_};
-    for (const auto& [uid, host] : hosts_) state.hosts.push_back({uid, host.state, host.gone_at});
+ClusterState Cluster::save() {
+    if (!table_.staging()) finish_sweep();
+    ClusterState state{{}, {awake_.begin(), awake_.end()}, orphans_, table_.last_number(), version_, heard_};
+    table_.each([&](const HostView& host, Time gone_at) {
+        state.hosts.push_back({std::string(host.uid), host.address, host.listing, gone_at});
+    });
     return state;
 }
 
 void Cluster::adopt(const ClusterState& state) {
-    for (const auto& host : state.hosts) hosts_[host.uid] = {host.state, host.gone_at, {}};
-    last_id_ = state.last_id;
+    for (const auto& known : state.hosts)
+        table_.adopt({known.uid, known.address, known.listing}, known.gone_at);
+    table_.adopt_numbers(state.last_id);
+    awake_ = {state.awake.begin(), state.awake.end()};
+    orphans_ = state.orphans;
+    all_awake_ = table_.size() <= most_all_awake;
     version_ = state.version;
     heard_ = state.heard;
 }
 
-std::size_t Cluster::listed() const {
-    return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(),
-                                                  [](const auto& host) { return !host.second.state.gone; }));
-}
-
-// As if the list had said that it is gone.
-void Cluster::leave(Known& known, dispatch::Listed& listed) {
-    if (known.state.gone) return;
-    known.state.ready = false;
-    known.state.gone = true;
-    known.gone_at = scheduler_.now();
-    pool_.relist(known.state);
-    Listing line;
-    line.endpoint = known.state.id;
-    line.destination = known.state.destination;
-    line.state = ListingState::gone;
-    listed.lines.push_back(line);
-}
-
-Time Cluster::next_forgotten() const {
-    Time first = runtime::never;
-    for (const auto& [uid, host] : hosts_) first = std::min(first, host.gone_at + forget_ms_);
-    return first;
+Time Cluster::next_due() const {
+    if (!table_.swept()) return table_.staging() ? runtime::never : scheduler_.now();
+    const Time orphaned = orphans_.empty() ? runtime::never : orphans_.front().first;
+    return std::min(table_.next_gone(), orphaned) + forget_ms_;
 }
 
 // New hosts come without end; those that have gone leave nothing behind, here or in the core.
 dispatch::Listed Cluster::forget_gone() {
     dispatch::Listed listed;
-    for (auto host = hosts_.begin(); host != hosts_.end();) {
-        if (scheduler_.now() < host->second.gone_at + forget_ms_) {
-            ++host;
-            continue;
-        }
-        pool_.forget(host->second.state.id);
-        listed.forgotten.push_back(host->second.state.id);
-        host = hosts_.erase(host);
-    }
+    const Time before = scheduler_.now() - forget_ms_;
+    const auto forget = [&](EndpointId host) {
+        pool_.forget(host);
+        listed.forgotten.push_back(host);
+    };
+    std::vector<Table::Forgotten> forgotten;
+    table_.forget(before, sweep_slice, forgotten);
+    for (const auto& host : forgotten)
+        if (awake_.count(static_cast<std::uint16_t>(host.destination)) != 0) forget({host.number, 0});
+    for (; !orphans_.empty() && orphans_.front().first <= before; orphans_.pop_front())
+        forget(orphans_.front().second);
+    if (!all_awake_ && table_.size() < few_again) wake_all(listed);
     return listed;
 }
 
+// So few are left that none needs to sleep.
+void Cluster::wake_all(dispatch::Listed& listed) {
+    all_awake_ = true;
+    std::set<std::uint16_t> asleep;
+    table_.each([&](const HostView& host, Time) {
+        if (awake_.count(host.listing.destination) == 0) asleep.insert(host.listing.destination);
+    });
+    for (const auto destination : asleep) wake(destination, listed.lines);
+}
+
 runtime::Task<void> Cluster::run() {
     for (;;) {
-        while (auto news = mailbox_.take()) tell_(apply(*news));
-        if (auto forgotten = forget_gone(); !forgotten.forgotten.empty()) tell_(std::move(forgotten));
-        co_await waker_.wait(next_forgotten());
+        if (!table_.staging()) {
+            table_.sweep(sweep_slice, scheduler_.now());
+            if (table_.swept()) {
+                while (auto news = mailbox_.take()) tell_(apply(*news));
+                auto listed = forget_gone();
+                if (!listed.forgotten.empty() || !listed.lines.empty()) {
+                    listed.from_config = true;  // nothing was heard from discovery
+                    tell_(std::move(listed));
+                }
+            }
+        }
+        co_await waker_.wait(next_due());
     }
 }
 
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -1,14 +1,20 @@
 // The cluster: discovery's list and the watch that keeps it. The last list is kept while discovery is silent.
+// All hosts are in a dense table; the pool and the core know of those alone whose destinations are awake. In
+// a small deployment all are (docs/design/destinations.md). Asked for a destination, it is looked up; a
+// change costs its own size, and a whole list is staged and takes effect at once.
 #pragma once
 
+#include <deque>
 #include <functional>
-#include <map>
+#include <set>
 #include <string>
 
 #include "cluster/objects.hpp"
 #include "cluster/pace.hpp"
 #include "cluster/share.hpp"
+#include "cluster/table.hpp"
 #include "config/config.hpp"
+#include "dispatch/directory.hpp"
 #include "dispatch/types.hpp"
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
@@ -34,17 +40,24 @@
 // What a cluster gives to its successor: hosts keep their numbers.
 struct KnownState {
     std::string uid;
-    upstream::HostState state;
+    runtime::Address address;
+    Listing listing;
     Time gone_at = 0;
 };
 struct ClusterState {
     std::vector<KnownState> hosts;
+    std::vector<std::uint16_t> awake;
+    std::deque<std::pair<Time, EndpointId>> orphans;
     std::uint32_t last_id = 0, version = 0;
     bool heard = false;
 };
 
-class Cluster {
+class Cluster : public dispatch::Directory {
 public:
+    // Up to so many hosts all destinations are awake; above, those that rest sleep until a message comes.
+    // Back below the second figure all wake again.
+    static constexpr std::size_t most_all_awake = 1024, few_again = 768;
+
     // `forget_ms`: for how long a host that has gone is remembered; its last calls are over well before.
     Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
             upstream::Pool& pool, double forget_ms = 30000);
@@ -68,9 +81,16 @@
     // What that says has changed: for all hosts, or for these.
     void look_again();
     void look_again(const std::vector<std::string>& uids);
-    std::size_t known() const { return hosts_.size(); }
-    std::size_t listed() const;  // hosts of discovery's list, those that drain included
-    ClusterState save() const;
+    std::size_t known() const { return table_.size(); }
+    std::size_t listed() const { return table_.listed(); }  // those that drain included
+    std::size_t awake() const { return awake_.size(); }     // destinations
+    ClusterState save();
+
+    bool knows(std::uint16_t destination) const override { return table_.knows(destination); }
+    bool has_room() const override;
+    void wake(std::uint16_t destination, std::vector<Listing>& hosts) override;
+    bool may_sleep() const override { return !all_awake_; }
+    bool sleep(std::uint16_t destination, const std::function<bool(Listing&)>& rest) override;
     void adopt(const ClusterState& state);
     bool heard() const { return heard_; }  // a list or changes, since the start
 
@@ -94,19 +114,27 @@
     Tell tell_;
     KeepsOut keeps_out_;
     Share* share_ = nullptr;
-    struct Known {
-        upstream::HostState state;
-        Time gone_at = runtime::never;
-        Listing listing;  // as discovery has it, but for its endpoint
-    };
-    void look_at(const std::string& uid, Known& known, dispatch::Listed& listed);
+    upstream::HostState state_of(const HostView& host) const;
+    // To the pool, and as a line for the core.
+    void tell_host(const HostView& host, std::vector<Listing>& lines);
+    void tell_gone(const HostView& host, std::vector<Listing>& lines);
+    bool take_line(const News::Line& line, std::vector<Listing>& lines);
+    bool stage(const News::Line& line);
+    void finish_sweep();
+    dispatch::Listed commit();
+    void wake_all(dispatch::Listed& listed);
+    void look_at(const HostView& host, dispatch::Listed& listed);
     void tell_again(dispatch::Listed listed);
-    void leave(Known& known, dispatch::Listed& listed);
     dispatch::Listed forget_gone();
-    Time next_forgotten() const;
+    Time next_due() const;
+    bool table_full() const;
 
-    std::map<std::string, Known> hosts_;     // by uid
-    std::uint32_t last_id_ = 0;              // never given twice: another uid is another host
+    Table table_;
+    std::set<std::uint16_t> awake_;  // destinations that the core is told of
+    bool all_awake_ = true;
+    // Numbers of hosts that the table has no record of any more while the pool and the core still have them.
+    std::deque<std::pair<Time, EndpointId>> orphans_;
+    bool full_told_ = false;
     std::uint32_t version_ = 0, asked_ = 0;  // asked for next: what follows the last object that was read
     bool heard_ = false, moved_ = false;
     WatchPace pace_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,8 @@
 namespace brasslift::dispatch {
 namespace {
 
+constexpr int most_dozing = 64;  // in a turn
+
 // Tells one tenant's keys and prints from another's.
 std::size_t salt_of(std::uint16_t tenant) { return (std::size_t{tenant} + 1) * 0x9e3779b97f4a7c15U; }
 
@@ -40,6 +42,12 @@
             continue;
         }
         remember(m);
+        if (directory_ != nullptr && awake_.count(m.destination) == 0) {
+            Listed woken;
+            woken.from_config = true;
+            wake(m.destination, woken);
+            on(woken);
+        }
         Restored restored;
         restored.message.id = id;
         restored.message.message_class = m.message_class;
@@ -79,8 +87,9 @@
 runtime::Task<void> Dispatcher::run() {
     const double tick = std::max(1.0, settings_.tick_ms);
     for (;;) {
-        const Time due = std::min(timers_.empty() ? never : timers_.begin()->first,
-                                  parked_until_.empty() ? never : parked_until_.begin()->first);
+        const Time due = std::min({timers_.empty() ? never : timers_.begin()->first,
+                                   parked_until_.empty() ? never : parked_until_.begin()->first,
+                                   naps_.empty() ? never : naps_.front().first});
         if (mailbox_.empty() && scheduler_.now() < due) {
             co_await waker_.wait(due);
             continue;
@@ -95,6 +104,7 @@
 void Dispatcher::turn() {
     now_ = scheduler_.now();
     auto letters = mailbox_.take_all();
+    wake_for(letters);
     for (auto& letter : letters) std::visit([this](auto& l) { on(l); }, letter);
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         const auto timer = timers_.begin()->second;
@@ -103,6 +113,59 @@
     }
     expire_parked();
     perform();
+    doze();
+}
+
+void Dispatcher::wake(std::uint16_t destination, Listed& listed) {
+    awake_.emplace(destination, now_);
+    naps_.emplace_back(now_ + rest_ms, destination);
+    directory_->wake(destination, listed.lines);
+}
+
+// All that a turn's messages are for wake together, before the module hears of any.
+void Dispatcher::wake_for(const std::deque<Letter>& letters) {
+    if (directory_ == nullptr) return;
+    Listed woken;
+    woken.from_config = true;  // nothing was heard from discovery
+    for (const auto& letter : letters) {
+        const auto* const s = std::get_if<Submission>(&letter);
+        if (s == nullptr || awake_.count(s->destination) != 0) continue;
+        if (directory_->knows(s->destination) && directory_->has_room()) wake(s->destination, woken);
+    }
+    if (!woken.lines.empty()) on(woken);
+}
+
+// Destinations that nothing has come for go to sleep, a few at a time. What waits in the mailbox may be of
+// one of them, so all of it comes first.
+void Dispatcher::doze() {
+    for (int left = most_dozing; left > 0 && !naps_.empty() && naps_.front().first <= now_; --left) {
+        if (!mailbox_.empty()) return;
+        const auto destination = naps_.front().second;
+        naps_.pop_front();
+        const auto used = awake_.find(destination);
+        if (used == awake_.end()) continue;
+        const bool due = directory_->may_sleep() && now_ >= used->second + rest_ms;
+        std::vector<Listing> gone;
+        const bool sleeps = due && directory_->sleep(destination, [&](Listing& line) {
+            const auto standing = sender_.standing(line.endpoint);
+            line.outage = standing.outage;
+            line.failed_at = standing.failed_at;
+            line.wait_until = standing.wait_until;
+            gone.push_back(line);
+            gone.back().state = ListingState::gone;
+            return standing.rests;
+        });
+        if (!sleeps) {
+            naps_.emplace_back(now_ + rest_ms, destination);
+            continue;
+        }
+        for (const auto& line : gone) hosts_.erase(line.endpoint.address);
+        awake_.erase(used);
+        ListUpdate update;
+        update.entries = gone;
+        tell(update);
+    }
+    if (!actions_.empty()) perform();
 }
 
 void Dispatcher::tell(const Event& event) { sender_.handle(now_, event, actions_); }
@@ -166,9 +229,14 @@
     // A client that left before its answer may hand in again under another id: its message never starts.
     if (!client) return;
     if (!client->present()) return refuse(s, *client, Reply::full, Refusal::gone, full_pause_ms);
-    if (destinations_.count(s.destination) == 0)
+    const auto destination = awake_.find(s.destination);
+    if (destination == awake_.end()) {
+        if (directory_ != nullptr && directory_->knows(s.destination))
+            return refuse(s, *client, Reply::full, Refusal::held, full_pause_ms);  // no room to wake it
         return refuse(s, *client, list_heard_ ? Reply::nowhere : Reply::unlisted,
                       list_heard_ ? Refusal::nowhere : Refusal::unlisted, full_pause_ms);
+    }
+    destination->second = now_;
     // A client whose connection broke sends the same request once more: it is taken on once. Whoever hands
     // something else in under an id that another client's message has, is told so.
     forget_ids();
@@ -337,13 +405,15 @@
 void Dispatcher::on(const Listed& listed) {
     for (const auto& line : listed.lines) {
         hosts_[line.endpoint.address] = line;
-        destinations_.insert(line.destination);
+        if (awake_.emplace(line.destination, now_).second && directory_ != nullptr)
+            naps_.emplace_back(now_ + rest_ms, line.destination);
     }
     for (const auto& host : listed.forgotten) hosts_.erase(host.address);
     if (!listed.whole && listed.lines.empty()) return;
     list_heard_ = list_heard_ || !listed.from_config;
+    // Of a whole list too the lines say all: those that left are among them, and it knows nothing of what
+    // woke since.
     ListUpdate update;
-    update.whole = listed.whole;
     update.entries = listed.lines;
     tell(update);
 }
@@ -422,13 +492,14 @@
 std::map<std::uint16_t, double> Dispatcher::windows() const {
     std::map<std::uint16_t, double> sums;
     for (const auto& [address, line] : hosts_)
-        if (line.state == ListingState::ready) sums[line.destination] += sender_.window(line.endpoint);
+        if (line.state == ListingState::ready)
+            sums[line.destination] += sender_.standing(line.endpoint).window;
     return sums;
 }
 
 std::size_t Dispatcher::avoided() const {
     return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(), [this](const auto& host) {
-        return host.second.state != ListingState::gone && sender_.avoids(host.second.endpoint);
+        return host.second.state != ListingState::gone && sender_.standing(host.second.endpoint).avoided;
     }));
 }
 
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "dispatch/authority.hpp"
+#include "dispatch/directory.hpp"
 #include "dispatch/durable.hpp"
 #include "dispatch/figures.hpp"
 #include "dispatch/ledger.hpp"
@@ -20,6 +21,8 @@
 
 namespace brasslift::dispatch {
 
+// A destination that nothing has come for in so long may sleep; the module drops its window after as long.
+constexpr double rest_ms = 60000;
 constexpr double full_pause_ms = 500;  // advice where the holding room or the store is full
 
 // What the core gives to its successor beside the store, which both share.
@@ -27,7 +30,7 @@
     double wall_offset = 0;
     std::vector<std::pair<Time, std::uint32_t>> timers;
     std::vector<Listing> hosts;
-    std::set<std::uint16_t> destinations;
+    std::map<std::uint16_t, Time> awake;
     bool list_heard = false;
     std::uint64_t flying = 0;
     std::string module;
@@ -50,6 +53,8 @@
     void sync_by(Durable* durable) { durable_ = durable; }
     // Who is asked before new work is answered by the present rules; nullptr: nobody.
     void judge_by(const Authority* authority) { authority_ = authority; }
+    // Who knows the destinations that sleep; nullptr: none does.
+    void look_up_in(Directory* directory) { directory_ = directory; }
     std::uint64_t rules_version() const { return rules_version_; }
     // The calls at a time that the module's windows allow, by destination.
     std::map<std::uint16_t, double> windows() const;
@@ -83,6 +88,9 @@
     };
 
     void turn();
+    void wake(std::uint16_t destination, Listed& listed);
+    void wake_for(const std::deque<Letter>& letters);
+    void doze();
     void remember_ids();
     void remember(const Owed& message);
     void on(Submission& submission);
@@ -168,6 +176,7 @@
     Observer* observer_ = nullptr;
     Durable* durable_ = nullptr;
     const Authority* authority_ = nullptr;
+    Directory* directory_ = nullptr;
     std::uint64_t rules_version_ = 0;
     std::deque<Waiting> waiting_;
     Time now_ = 0;
@@ -186,8 +195,11 @@
     std::map<Route, std::deque<Parked>> parked_;
     std::multimap<Time, Route> parked_until_;
     std::unordered_map<std::uint32_t, Listing> hosts_;
-    std::set<std::uint16_t> destinations_;  // that some list has named; one may be without hosts for a while
-    bool list_heard_ = false;               // from discovery, since the start
+    // Destinations that the module knows, and when a message last came for each; one may be without hosts for
+    // a while. Those that rest for long enough sleep, where the directory lets them.
+    std::map<std::uint16_t, Time> awake_;
+    std::deque<std::pair<Time, std::uint16_t>> naps_;  // when each is looked at, in that order
+    bool list_heard_ = false;                          // from discovery, since the start
     std::multimap<Time, std::uint32_t> timers_;
     std::size_t flying_ = 0;
 };
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -15,7 +15,7 @@
     state.wall_offset = wall_offset_;
     state.timers.assign(timers_.begin(), timers_.end());
     for (const auto& [address, line] : hosts_) state.hosts.push_back(line);
-    state.destinations = destinations_;
+    state.awake = awake_;
     state.list_heard = list_heard_;
     state.flying = flying_;
     state.module = sender_.save();
@@ -27,7 +27,8 @@
     wall_offset_ = state.wall_offset;
     timers_.insert(state.timers.begin(), state.timers.end());
     for (const auto& line : state.hosts) hosts_[line.endpoint.address] = line;
-    destinations_ = state.destinations;
+    awake_ = state.awake;
+    for (const auto& [destination, used] : awake_) naps_.emplace_back(now_ + rest_ms, destination);
     list_heard_ = state.list_heard;
     flying_ = state.flying;
     return sender_.load(state.module);
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -122,6 +122,7 @@
     server_.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server_.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
     server_.turned_away_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
+    dispatcher_.look_up_in(&cluster_);
     keeper_.tell_to([&] { core.put(dispatch::Synced{}); });
 }
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -55,10 +55,21 @@
 void Pool::forget(EndpointId id) {
     const auto found = hosts_.find(id);
     if (found == hosts_.end()) return;
+    const auto wait = waits_.find(found->second->state.destination);
+    if (wait != waits_.end() && wait->second <= scheduler_.now()) waits_.erase(wait);
     found->second->mailbox.put(CloseIdle{true});
     hosts_.erase(found);
 }
 
+Time Pool::wait_until(EndpointId id) const {
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end()) return 0;
+    const auto& host = *found->second;
+    if (host.state.apart) return host.wait_until;
+    const auto wait = waits_.find(host.state.destination);
+    return wait == waits_.end() ? 0 : wait->second;
+}
+
 void Pool::call(dispatch::Call call) {
     if (const auto found = hosts_.find(call.host); found != hosts_.end())
         return found->second->mailbox.put(std::move(call));
@@ -87,6 +98,7 @@
                 if (!state.ready && host.left_at == runtime::never) host.left_at = scheduler_.now();
                 if (state.ready) host.left_at = runtime::never;
                 host.state = state;
+                heed(host, state.wait_until);
             }
         }
         drop_idle(host);
@@ -164,10 +176,10 @@
     return host.state.apart ? host.wait_until : waits_[host.state.destination];
 }
 
-void Pool::heed(Host& host, const Fate& fate) {
-    if (fate.wait_ms <= 0) return;
+void Pool::heed(Host& host, Time until) {
+    if (until <= scheduler_.now()) return;
     auto& wait = wait_of(host);
-    wait = std::max(wait, scheduler_.now() + fate.wait_ms);
+    wait = std::max(wait, until);
 }
 
 runtime::Task<void> Pool::carry(HostPtr own, dispatch::Call call) {
@@ -194,7 +206,8 @@
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
     if (!answered || flight.ended.cause != Cause::none) flight.socket.close();
-    if (answered) heed(host, fate_of(flight.ended, flight.parser.message().headers));
+    if (answered)
+        heed(host, scheduler_.now() + fate_of(flight.ended, flight.parser.message().headers).wait_ms);
     land(flight);
     // Where connections are capped, the next call counts on this one's place as soon as it has landed.
     if (flight.socket && !flight.parser.complete() && !flight.capped()) co_await read_answer(flight);
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -23,7 +23,8 @@
     std::uint16_t destination = 0;
     bool apart = false;  // waits bind this host alone, not its whole destination
     bool ready = false;
-    bool gone = false;  // nothing reaches it any more: its address may be another host's by now
+    bool gone = false;    // nothing reaches it any more: its address may be another host's by now
+    Time wait_until = 0;  // a told wait that was heard before it slept
 };
 
 struct PoolSettings {
@@ -77,8 +78,9 @@
 
     void report_to(Report report) { report_ = std::move(report); }
     void relist(const HostState& state);
-    // A host that has long been gone; calls that are out still end.
+    // A host that has long been gone, or sleeps from now on; calls that are out still end.
     void forget(EndpointId host);
+    Time wait_until(EndpointId host) const;  // the end of the told wait that binds it; 0: none
     void call(dispatch::Call call) override;
     void close_idle(EndpointId host) override;
     std::size_t idle() const { return idle_; }
@@ -125,8 +127,8 @@
     runtime::Task<void> exchange(Host& host, Flight& flight);
     runtime::Task<bool> write_rest(Flight& flight);
     runtime::Task<void> read_answer(Flight& flight);
-    void heed(Host& host, const Fate& fate);
     Time& wait_of(Host& host);
+    void heed(Host& host, Time until);
     runtime::Socket take_idle(Host& host, const std::string& pool);
     void give_back(Host& host, Flight& flight);
     void remove_idle(Host& host, std::deque<Idle>::iterator idle);
