--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "cluster/news.hpp"
 #include "cluster/objects.hpp"
 #include "cluster/pace.hpp"
 #include "cluster/share.hpp"
@@ -16,18 +17,6 @@
 
 namespace brasslift::cluster {
 
-// One list of discovery's, whole or changes.
-struct News {
-    bool whole = false;
-    std::uint32_t version = 0;
-    struct Line {
-        std::string uid;
-        runtime::Address address;  // port 0: as it was
-        Listing listing;           // its endpoint is filled in by the cluster
-    };
-    std::vector<Line> lines;
-};
-
 // Nothing where the object cannot be read; lines that cannot be read are left out.
 std::optional<News> read_news(const config::Flat& flat, const config::Config& config);
 
