Read the watch and the config's known list as they stream, in slices

The watch held each object whole (8 MiB at most), made a map of it and read 20,000 lines; the loop stood still meanwhile. Now each read of 16 KiB goes through the list reader, and once a turn of the loop has lasted 2 ms the watch leaves it to whoever else waits (Scheduler::turn_ms, next_turn). A list becomes news at its end; what is cut off, too large or broken is logged with its reason and the old list stays. Entries that cannot be read are logged once a list.

The list in the config's file was part of its 8 MiB and 200,000 values, and was held as a map for the life of the process. It is parted from the rest as the file is read (config/known_split) and read by the same reader at the start, within its bounds. One that is too large or broken within its braces says so and the start goes on without it; before, it refused the start. Config::known becomes Config::file.

The reader of whole objects is out of the program; its two tests stay with it beside the tests that compare with it, and the reader has the same bytes in a test of its own.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -13,9 +13,10 @@
 namespace brasslift::cluster {
 namespace {
 
-constexpr std::size_t most_object = 8 * 1024 * 1024;
-constexpr http::Limits watch_limits{16 * 1024, most_object};
-constexpr std::size_t most_hosts = 20000;
+constexpr ListBounds list_bounds;
+constexpr http::Limits watch_limits{16 * 1024, list_bounds.most_bytes};
+// What the watch reads in one turn of the loop takes no longer, but for one read.
+constexpr double read_ms = 2;
 
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
@@ -24,38 +25,13 @@
 
 }  // namespace
 
-std::optional<News> read_news(const config::Flat& flat, const config::Config& config) {
-    const double version = config::number_or(flat, "rev", -1);
-    if (version < 0 || version > 4294967295.0) return std::nullopt;
-    News news;
-    news.version = static_cast<std::uint32_t>(version);
-    news.whole = config::text_or(flat, "all") == "true";
-    const auto count = static_cast<std::size_t>(std::max(0.0, config::number_or(flat, "targets.count", 0)));
-    for (std::size_t i = 0; i < std::min(count, most_hosts); ++i) {
-        const auto at = "targets." + std::to_string(i) + '.';
-        News::Line line;
-        line.uid = config::text_or(flat, at + "uid");
-        const auto address = runtime::parse_address(config::text_or(flat, at + "endpoint"));
-        const double group = config::number_or(flat, at + "pod_group", -1);
-        const auto state = config::text_or(flat, at + "state");
-        if (line.uid.empty() || group < 0 || group > 65535 || (!address && state != "Gone")) {
-            runtime::log("cluster", "an entry of the list cannot be read");
-            continue;
-        }
-        if (address) line.address = *address;
-        line.listing.destination = static_cast<std::uint16_t>(group);
-        line.listing.zone = static_cast<std::uint16_t>(
-            std::max(0, config::place_of(config.zones, config::text_or(flat, at + "az"))));
-        line.listing.kind = static_cast<std::uint8_t>(
-            std::max(0, config::place_of(config.kinds, config::text_or(flat, at + "model"))));
-        line.listing.state = state == "Ready"  ? ListingState::ready
-                             : state == "Gone" ? ListingState::gone
-                                               : ListingState::draining;
-        line.listing.weight = config::number_or(flat, at + "capacity_hint", 0);
-        news.lines.push_back(std::move(line));
+struct Cluster::Lists : ListGatherer {
+    const LeftOut* left_out = nullptr;
+    void end() override {
+        if (left_out->any()) runtime::log("cluster", "%s", as_text(*left_out).c_str());
+        ListGatherer::end();
     }
-    return news;
-}
+};
 
 Cluster::Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
                  upstream::Pool& pool, double forget_ms)
@@ -248,23 +224,35 @@
     const auto request = watch_request(asked_);
     if (socket->write(request).count != request.size()) co_return unreachable;
     http::Parser parser(http::Parser::Side::response, watch_limits);
-    Objects objects(most_object);
+    Lists lists;
+    ListReader reader(config_, list_bounds, lists);
+    lists.left_out = &reader.left_out();
+    const auto end_of = [&reader](WatchEnd how) {
+        if (reader.inside()) runtime::log("cluster", "the watch ended within a list: nothing of it holds");
+        reader.stop();
+        return Ended{how};
+    };
     bool heard = false;
     char part[16384];
     for (;;) {
+        // A large list comes faster than it is read: whoever else waits for the loop has its turn too.
+        if (scheduler_.turn_ms() > read_ms) {
+            co_await runtime::next_turn(scheduler_);
+            if (moved_) co_return Ended{WatchEnd::heard};
+        }
         const auto got = socket->read(part, sizeof part);
         if (got.io == runtime::Io::blocked) {
             // A call that was taken and then nothing: for the pace as if it had not been.
-            if (scheduler_.now() >= until) co_return Ended{heard ? WatchEnd::silent : WatchEnd::unreachable};
+            if (scheduler_.now() >= until) co_return end_of(heard ? WatchEnd::silent : WatchEnd::unreachable);
             co_await waker.wait(until);
             if (moved_) co_return Ended{WatchEnd::heard};
             continue;
         }
         // One that was taken and ended before it said anything is one too many.
         if (got.io != runtime::Io::done)
-            co_return Ended{heard                 ? WatchEnd::heard
-                            : parser.has_status() ? WatchEnd::refused
-                                                  : WatchEnd::unreachable};
+            co_return end_of(heard                 ? WatchEnd::heard
+                             : parser.has_status() ? WatchEnd::refused
+                                                   : WatchEnd::unreachable);
         until = scheduler_.now() + WatchPace::silence_ms;
         parser.feed({part, got.count});
         if (parser.has_status() && parser.message().status != 200) {
@@ -275,10 +263,13 @@
         }
         const auto body = std::exchange(parser.message().body, {});
         heard = heard || !body.empty();
-        const auto taken = take_objects(objects, body);
+        const auto taken = take(reader, lists, body);
         if (taken == Taken::unreadable) co_return unreachable;
+        if (parser.fault() == http::Fault::body_too_large)
+            runtime::log("cluster", "what the watch says is larger than %zu bytes and is not read",
+                         watch_limits.body);
         if (parser.complete() || parser.fault() != http::Fault::none)
-            co_return Ended{heard ? WatchEnd::heard : WatchEnd::unreachable};
+            co_return end_of(heard ? WatchEnd::heard : WatchEnd::unreachable);
         // In a large fleet the watch is let go with what it brought, so that others get one too.
         if (taken == Taken::news && pace_.lets_go()) co_return Ended{WatchEnd::heard};
     }
@@ -286,22 +277,19 @@
 
 // What cannot be read may have told something: the whole list is asked for, and nothing behind it is
 // believed.
-Cluster::Taken Cluster::take_objects(Objects& objects, std::string_view bytes) {
-    std::vector<std::string> whole;
-    bool sound = objects.feed(bytes, whole);
-    bool any = false;
-    for (const auto& object : whole) {
-        const auto flat = config::flatten(object);
-        auto news = flat ? read_news(*flat, config_) : std::nullopt;
-        sound = sound && news;
-        if (!news) break;
-        const auto after = std::exchange(asked_, news->version);
+Cluster::Taken Cluster::take(ListReader& reader, Lists& lists, std::string_view bytes) {
+    const bool sound = reader.feed(bytes);
+    const bool any = !lists.whole.empty();
+    for (auto& list : std::exchange(lists.whole, {})) {
+        const auto after = std::exchange(asked_, list.version);
+        std::optional<News> news(std::move(list));
         if (share_ != nullptr) news = share_->own(*news, after);
         if (news) mailbox_.put(std::move(*news));
-        any = heard_ = true;
+        heard_ = true;
     }
     if (sound) return any ? Taken::news : Taken::nothing;
-    runtime::log("cluster", "what the watch says cannot be read: the whole list is asked for");
+    runtime::log("cluster", "what the watch says cannot be read (%s): the whole list is asked for",
+                 reader.fault().c_str());
     asked_ = 0;
     return Taken::unreadable;
 }
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -5,8 +5,8 @@
 #include <map>
 #include <string>
 
+#include "cluster/list_reader.hpp"
 #include "cluster/news.hpp"
-#include "cluster/objects.hpp"
 #include "cluster/pace.hpp"
 #include "cluster/share.hpp"
 #include "config/config.hpp"
@@ -17,9 +17,6 @@
 
 namespace brasslift::cluster {
 
-// Nothing where the object cannot be read; lines that cannot be read are left out.
-std::optional<News> read_news(const config::Flat& flat, const config::Config& config);
-
 // What a cluster gives to its successor: hosts keep their numbers.
 struct KnownState {
     std::string uid;
@@ -69,9 +66,10 @@
         int status = 0;             // of a refusal
         double retry_after_ms = 0;  // its
     };
+    struct Lists;  // that were read and have not been taken yet
     runtime::Task<Ended> follow();
     enum class Taken { nothing, news, unreadable };
-    Taken take_objects(Objects& objects, std::string_view bytes);
+    Taken take(ListReader& reader, Lists& lists, std::string_view bytes);
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
--- a/src/cluster/list_reader.hpp
+++ b/src/cluster/list_reader.hpp
@@ -23,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cluster/news.hpp"
@@ -46,6 +47,17 @@
     virtual void cut(std::string_view why) = 0;  // it cannot be read on: nothing of what was begun holds
 };
 
+// Gathers each list whole.
+struct ListGatherer : ListSink {
+    News coming;
+    std::vector<News> whole;
+
+    void begin(const ListHead& head) override { coming = {head.whole, head.version, {}}; }
+    void line(News::Line&& line) override { coming.lines.push_back(std::move(line)); }
+    void end() override { whole.push_back(std::exchange(coming, {})); }
+    void cut(std::string_view) override { coming = {}; }
+};
+
 struct ListBounds {
     std::size_t most_lines = 1'000'000;                   // entries of one list, those left out included
     std::size_t most_bytes = std::size_t{256} << 20;      // of one object
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -10,7 +10,8 @@
 namespace brasslift::config {
 namespace {
 
-constexpr std::size_t most_config = 8 * 1024 * 1024;
+constexpr std::size_t most_config = 8 * 1024 * 1024;  // but for the list
+constexpr std::size_t most_file = std::size_t{1} << 30;
 
 std::vector<std::string> split(const std::string& joined) {
     std::vector<std::string> items;
@@ -65,22 +66,31 @@
     config.zones = split(text_or(*flat, "settings.localities"));
     config.kinds = split(text_or(*flat, "settings.host_types"));
     config.report_fields = split(text_or(*flat, "settings.report.fields"));
-    config.known = below(*flat, "known");
     return config;
 }
 
-std::string read_file(const std::string& path) {
+std::string read_file(const std::string& path, const KnownSplit::Take& known) {
     std::ifstream file(path, std::ios::binary);
     if (!file) throw BadConfig("the config file cannot be read: " + path);
+    KnownSplit split;
     std::string text;
     char part[65536];
+    std::size_t size = 0;
     while (file.read(part, sizeof part), file.gcount() > 0) {
-        text.append(part, static_cast<std::size_t>(file.gcount()));
-        if (text.size() > most_config) throw BadConfig("the config file is too large: " + path);
+        const auto count = static_cast<std::size_t>(file.gcount());
+        split.feed({part, count}, text, known);
+        if (text.size() > most_config || (size += count) > most_file)
+            throw BadConfig("the config file is too large: " + path);
     }
     return text;
 }
 
+Config read_config_file(const std::string& path) {
+    auto config = read_config(read_file(path));
+    config.file = path;
+    return config;
+}
+
 Config load_config() {
     const auto variable = [](const char* name) -> std::string {
         const char* const value = std::getenv(name);
@@ -88,7 +98,7 @@
     };
     const auto path = variable("PROXY_CONFIG");
     if (path.empty()) throw BadConfig("PROXY_CONFIG names no file");
-    auto config = read_config(read_file(path));
+    auto config = read_config_file(path);
     if (const auto name = variable("PROXY_NAME"); !name.empty()) config.name = name;
     if (const auto listen = variable("PROXY_LISTEN"); !listen.empty()) config.listen = listen;
     if (const auto admin = variable("PROXY_ADMIN"); !admin.empty()) config.admin = admin;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,6 +8,7 @@
 
 #include "brasslift/sender.hpp"
 #include "config/json.hpp"
+#include "config/known_split.hpp"
 
 namespace brasslift::config {
 
@@ -28,7 +29,9 @@
     std::vector<std::string> classes, tenants, zones, kinds;
     std::vector<std::string>
         report_fields;  // of the load reports that answers may carry, in the module's order
-    Flat known;         // the list as this dispatcher last had it, in discovery's form
+    // Where it was read; the list as this dispatcher last had it stays there until it is read
+    // (cluster/known.hpp). Empty: none.
+    std::string file;
 };
 
 // The place of a name, -1 if there is none.
@@ -36,8 +39,10 @@
 
 // Reads a config's text; throws BadConfig or wire::BadSettings, naming what is wrong.
 Config read_config(const std::string& json);
-// A file of bounded size, whole.
-std::string read_file(const std::string& path);
+// The config in a file, of bounded size but for its known list, which is left out; its bytes go to `known`.
+std::string read_file(const std::string& path, const KnownSplit::Take& known = {});
+// That config, without what the environment says; for its list it knows its file.
+Config read_config_file(const std::string& path);
 // The file and what the environment says beside it.
 Config load_config();
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "cluster/cluster.hpp"
+#include "cluster/known.hpp"
 #include "commands/config_command.hpp"
 #include "commands/members_command.hpp"
 #include "commands/platform.hpp"
@@ -29,8 +29,8 @@
 
 // What a dispatcher would be told, or the reason for which it could not start.
 int check_config(const std::string& path) {
-    const auto config = path.empty() ? config::load_config() : config::read_config(config::read_file(path));
-    const auto known = cluster::read_news(config.known, config);
+    const auto config = path.empty() ? config::load_config() : config::read_config_file(path);
+    const auto known = cluster::read_known(config);
     const Sender module(config.settings, config.seed);  // throws where the module cannot work with them
     std::printf("name %s, listen %s, discovery %s\n", config.name.c_str(), config.listen.c_str(),
                 config.discovery.c_str());
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -88,6 +88,8 @@
     while (!roots_.empty()) std::coroutine_handle<>::from_address(*roots_.begin()).destroy();
 }
 
+double Scheduler::turn_ms() const { return steady_now() - now_; }
+
 void Scheduler::spawn(Task<void> task) { host(*this, std::move(task)); }
 
 std::uint64_t Scheduler::watch(int fd, Waker& waker) {
@@ -142,6 +144,11 @@
     run_ready();
 }
 
+Task<void> next_turn(Scheduler& scheduler) {
+    Waker waker(scheduler);
+    co_await waker.wait(steady_now());  // timers are served in their order, after descriptors
+}
+
 Task<void> sleep_until(Scheduler& scheduler, Time at) {
     Waker waker(scheduler);
     while (scheduler.now() < at) co_await waker.wait(at);
--- a/src/runtime/scheduler.hpp
+++ b/src/runtime/scheduler.hpp
@@ -59,6 +59,8 @@
     Scheduler& operator=(const Scheduler&) = delete;
 
     Time now() const { return now_; }
+    // For how long everyone in this turn of the loop has run by now.
+    double turn_ms() const;
 
     // Runs a task that nobody awaits; an exception ends that task only.
     void spawn(Task<void> task);
@@ -96,6 +98,9 @@
 Time steady_now();
 double wall_now();  // milliseconds of the Unix epoch
 
+// Goes on after descriptors and timers that wait by now have been served: for long work in slices.
+Task<void> next_turn(Scheduler& scheduler);
+
 // A pause that nothing but the clock ends.
 Task<void> sleep_until(Scheduler& scheduler, Time at);
 
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "admin/figures.hpp"
+#include "cluster/known.hpp"
 #include "commands/platform.hpp"
 #include "members/setup.hpp"
 #include "runtime/log.hpp"
@@ -167,7 +168,7 @@
 
 void Life::start_anew() {
     if (!server_.listen(listen_)) throw std::runtime_error("cannot listen on " + config_.listen);
-    const auto known = cluster::read_news(config_.known, config_);
+    const auto known = cluster::read_known(config_);
     auto first = known ? cluster_.begin_with(*known) : dispatch::Listed{};
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -1,9 +1,15 @@
-// The cluster's list through endless new hosts, without a peer.
+// The cluster's list through endless new hosts, and large lists from an agent that writes as fast as it can.
 #include "cluster/cluster.hpp"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <time.h>
 
+#include <algorithm>
 #include <set>
+#include <stdexcept>
+#include <thread>
 
 namespace brasslift::cluster {
 namespace {
@@ -57,5 +63,182 @@
     EXPECT_NE(listed.lines[1].endpoint, first);
 }
 
+// An agent: for each connection, an answer and then the connection's end. Written by a thread of its own, so
+// that there is always more to read than the loop has read.
+class Agent {
+public:
+    explicit Agent(std::vector<std::string> answers)
+        : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof at;
+        auto* const address = reinterpret_cast<sockaddr*>(&at);
+        if (::bind(listener_.get(), address, size) != 0 || ::listen(listener_.get(), 4) != 0 ||
+            ::getsockname(listener_.get(), address, &size) != 0)
+            throw std::runtime_error("the agent cannot listen");
+        address_ = {at.sin_addr.s_addr, at.sin_port};
+        thread_ = std::thread([this, answers = std::move(answers)] {
+            for (const auto& answer : answers) {
+                const runtime::Descriptor peer(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+                char request[4096];
+                if (!peer || ::recv(peer.get(), request, sizeof request, 0) <= 0) return;
+                for (std::string_view rest = answer; !rest.empty();) {
+                    const auto count = ::send(peer.get(), rest.data(), rest.size(), MSG_NOSIGNAL);
+                    if (count <= 0) break;
+                    rest.remove_prefix(static_cast<std::size_t>(count));
+                }
+            }
+        });
+    }
+    ~Agent() {
+        ::shutdown(listener_.get(), SHUT_RDWR);
+        thread_.join();
+    }
+    runtime::Address address() const { return address_; }
+
+private:
+    runtime::Descriptor listener_;
+    runtime::Address address_;
+    std::thread thread_;
+};
+
+std::string answer_of(const std::string& lists) { return "HTTP/1.1 200 OK\r\n\r\n" + lists; }
+
+std::string entries_of(int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i)
+        text += (i > 0 ? ",{\"uid\":\"s-" : "{\"uid\":\"s-") + std::to_string(i) +
+                "\",\"endpoint\":\"10.0.0.1:80\",\"pod_group\":" + std::to_string(i % 100) +
+                ",\"az\":\"a\",\"model\":\"many\",\"state\":\"Terminating\",\"capacity_hint\":50.0}";
+    return text;
+}
+
+double thread_ms() {
+    timespec now{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6;
+}
+
+// A cluster that watches an agent until `done` or for ten seconds.
+struct Watching {
+    explicit Watching(const Agent& agent)
+        : pool(scheduler, {}), cluster(scheduler, config, agent.address(), pool) {
+        cluster.tell_to([this](const dispatch::Listed& listed) { told.push_back(listed.lines.size()); });
+        scheduler.spawn(cluster.run());
+        scheduler.spawn(cluster.watch());
+    }
+    ~Watching() { scheduler.drop_tasks(); }
+    template <class Done>
+    bool await(Done done) {
+        for (const Time until = runtime::steady_now() + 10000; !done() && runtime::steady_now() < until;)
+            scheduler.run_until(runtime::steady_now() + 5);
+        return done();
+    }
+
+    runtime::Scheduler scheduler;
+    const config::Config config;
+    upstream::Pool pool;
+    Cluster cluster;
+    std::vector<std::size_t> told;  // lines of each list
+};
+
+TEST(Cluster, HearsAWholeListOfAnySizeAndTheChangesRoundIt) {
+    constexpr int count = 22000;  // more than were ever read of a list
+    Agent agent(
+        {answer_of("{\"rev\":1,\"all\":false,\"targets\":[" + entries_of(1) +
+                   "]}\n{\"rev\":2,\"all\":true,"
+                   "\"targets\":[" +
+                   entries_of(count) + "]}\n{\"rev\":3,\"all\":false,\"targets\":[" + entries_of(2) + "]}\n"),
+         answer_of("{\"rev\":4,\"all\":true,\"targets\":[]}\n"),
+         answer_of("{\"rev\":5,\"all\":true,\"targets\":[" + entries_of(5) + "]}\n")});
+    Watching watching(agent);
+    ASSERT_TRUE(watching.await([&] { return watching.told.size() == 5; }));
+    EXPECT_EQ(watching.told, (std::vector<std::size_t>{1, count, 2, count, 5}));
+    EXPECT_EQ(watching.cluster.listed(), 5u);
+}
+
+TEST(Cluster, OfAListThatIsCutOffOrTooLargeTheOldOneStays) {
+    const auto whole = "{\"rev\":2,\"all\":true,\"targets\":[" + entries_of(50);
+    Agent agent({answer_of("{\"rev\":1,\"all\":true,\"targets\":[" + entries_of(7) + "]}\n"),
+                 answer_of(whole), "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n" + whole,
+                 answer_of("{\"rev\":3,\"all\":false,\"targets\":[" + entries_of(1) + "]}\n")});
+    Watching watching(agent);
+    ASSERT_TRUE(watching.await([&] { return watching.told.size() == 2; }));
+    EXPECT_EQ(watching.told, (std::vector<std::size_t>{7, 1}));
+    EXPECT_EQ(watching.cluster.listed(), 7u);
+}
+
+// By the time of the thread, so that a busy machine is not taken for a held loop.
+TEST(Cluster, ALargeListHoldsTheLoopInSlicesOnly) {
+    Agent agent({answer_of("{\"rev\":1,\"all\":true,\"targets\":[" + entries_of(40000))});
+    Watching watching(agent);
+    double longest = 0, last = thread_ms();
+    const double from = last;
+    int turns = 0;
+    const auto tick = [&]() -> runtime::Task<void> {
+        for (;;) {
+            const double now = thread_ms();
+            longest = std::max(longest, now - std::exchange(last, now));
+            ++turns;
+            co_await runtime::next_turn(watching.scheduler);
+        }
+    };
+    watching.scheduler.spawn(tick());
+    // It is cut off, and the watch asks again.
+    bool over = false;
+    const auto enough = [&]() -> runtime::Task<void> {
+        co_await runtime::sleep_until(watching.scheduler, watching.scheduler.now() + 1500);
+        over = true;
+    };
+    watching.scheduler.spawn(enough());
+    ASSERT_TRUE(watching.await([&] { return over; }));
+    EXPECT_GT(turns, 10);
+    EXPECT_LT(longest, 40);
+    RecordProperty("longest_ms", std::to_string(longest));
+    RecordProperty("thread_ms", std::to_string(thread_ms() - from));
+}
+
+TEST(Scheduler, WhoLeavesTheTurnLetsDescriptorsAndTimersBeServedFirst) {
+    runtime::Scheduler scheduler;
+    runtime::Waker waker(scheduler);
+    auto listener = runtime::listen_on(scheduler, *runtime::parse_address("127.0.0.1:0"), waker);
+    ASSERT_TRUE(listener);
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    ASSERT_EQ(::getsockname(listener->fd(), reinterpret_cast<sockaddr*>(&at), &size), 0);
+    std::string order;
+    const auto accepts = [&]() -> runtime::Task<void> {
+        for (;;) {
+            runtime::Descriptor peer;
+            if (runtime::accept_from(*listener, peer) == runtime::Accepted::one) order += 'a';
+            co_await waker.wait();
+        }
+    };
+    const auto sleeps = [&]() -> runtime::Task<void> {
+        co_await runtime::sleep_until(scheduler, scheduler.now() + 1);
+        order += 't';
+    };
+    const auto works = [&]() -> runtime::Task<void> {
+        runtime::Waker own(scheduler);
+        auto socket = runtime::connect_to(scheduler, {at.sin_addr.s_addr, at.sin_port}, own);
+        while (scheduler.turn_ms() < 3) {}
+        order += 'w';
+        co_await runtime::next_turn(scheduler);
+        EXPECT_LT(order.find('a'), order.size());
+        EXPECT_LT(order.find('t'), order.size());
+        order += 'x';
+        scheduler.stop();
+    };
+    scheduler.spawn(accepts());
+    scheduler.spawn(sleeps());
+    scheduler.spawn(works());
+    scheduler.run();
+    EXPECT_EQ(order.front(), 'w');
+    EXPECT_EQ(order.back(), 'x');
+    EXPECT_EQ(order.size(), 4u);
+    scheduler.drop_tasks();
+}
+
 }  // namespace
 }  // namespace brasslift::cluster
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -369,6 +369,31 @@
               "");
 }
 
+// A list in the config that is too large keeps nobody from starting: discovery has the whole one.
+TEST(Dispatcher, StartsWithoutAKnownListThatIsTooLarge) {
+    EXPECT_EQ(play(R"(
+        known 1000000
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=0
+        c1 post safe m1 8000m 1
+        h absent POST 200
+        d1 send HTTP/1.1 200 OK\r\n\r\n{"rev":2,"all":true,"targets":[{"uid":"s-1","endpoint":"@h","az":"a","model":"many","pod_group":1,"state":"Ready","capacity_hint":50.0}]}\n
+        wait 500
+        c2 post safe m2 8000m 1
+        c2 expect 202
+        h expect Req-Id
+    )"),
+              "");
+    EXPECT_EQ(play(R"(
+        known 100000
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=1
+        c1 post safe m1 8000m 1
+        h expect Req-Id: m1
+    )"),
+              "");
+}
+
 // A message whose time ends while its call still waits for a connection is over at that time.
 TEST(Dispatcher, EndsAMessageInTimeThoughItsHostDoesNotAnswer) {
     EXPECT_EQ(play(R"(
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "cluster/objects.hpp"
 #include "cluster/pace.hpp"
 #include "scenario.hpp"
 
@@ -124,37 +123,6 @@
     EXPECT_LE(pace.after(WatchEnd::refused, 1e9), WatchPace::longest_ms * WatchPace::spread_high);
 }
 
-// Lists may come indented, and cut at any byte; a brace within a text is none.
-TEST(Objects, AreCutByTheirBracesWhereverTheReadsFall) {
-    const std::string one = "{\n  \"rev\": 2,\r\n\t\"targets\": [ {\n\"uid\": \"}\\\"]{\"\n } ]\n}";
-    const std::string two = "{\"rev\":3,\"targets\":[]}";
-    const std::string all = "\n\n" + one + "\r\n \n" + two + two + "\n\n";
-    for (std::size_t cut = 0; cut <= all.size(); ++cut)
-        for (std::size_t then = cut; then <= all.size(); then += 7) {
-            cluster::Objects objects(1000);
-            std::vector<std::string> whole;
-            for (const auto& part : {all.substr(0, cut), all.substr(cut, then - cut), all.substr(then)})
-                ASSERT_TRUE(objects.feed(part, whole));
-            ASSERT_EQ(whole, (std::vector<std::string>{one, two, two})) << cut << ' ' << then;
-        }
-}
-
-TEST(Objects, EndWithWhatIsNoneAndKeepNoMoreThanTheirLimit) {
-    std::vector<std::string> whole;
-    cluster::Objects noise(100);
-    EXPECT_FALSE(noise.feed("{}\nx{}", whole));
-    EXPECT_EQ(whole, std::vector<std::string>{"{}"});
-    EXPECT_FALSE(noise.feed("{}", whole));
-    EXPECT_EQ(whole.size(), 1u);
-    cluster::Objects large(100);
-    EXPECT_TRUE(large.feed("{\"a\":\"" + std::string(90, 'x'), whole));
-    EXPECT_FALSE(large.feed(std::string(20, 'x'), whole));
-    EXPECT_FALSE(large.feed("\"}", whole));
-    cluster::Objects at_once(100);
-    EXPECT_FALSE(at_once.feed("{\"a\":\"" + std::string(200, 'x') + "\"}", whole));
-    EXPECT_EQ(whole.size(), 1u);
-}
-
 // In a large fleet the watch ends with the changes it brought; the next comes after a pause and asks for
 // what followed them; a refusal doubles the pause.
 TEST(Fleet, LetsTheWatchGoAndAsksAgainLater) {
--- a/tests/list_reader_test.cpp
+++ b/tests/list_reader_test.cpp
@@ -307,6 +307,66 @@
         }
 }
 
+// ---- what it is compared with ---------------------------------------------------------------------------
+
+// Lists may come indented, and cut at any byte; a brace within a text is none.
+TEST(Objects, AreCutByTheirBracesWhereverTheReadsFall) {
+    const std::string one = "{\n  \"rev\": 2,\r\n\t\"targets\": [ {\n\"uid\": \"}\\\"]{\"\n } ]\n}";
+    const std::string two = "{\"rev\":3,\"targets\":[]}";
+    const std::string all = "\n\n" + one + "\r\n \n" + two + two + "\n\n";
+    for (std::size_t cut = 0; cut <= all.size(); ++cut)
+        for (std::size_t then = cut; then <= all.size(); then += 7) {
+            reference::Objects objects(1000);
+            std::vector<std::string> whole;
+            for (const auto& part : {all.substr(0, cut), all.substr(cut, then - cut), all.substr(then)})
+                ASSERT_TRUE(objects.feed(part, whole));
+            ASSERT_EQ(whole, (std::vector<std::string>{one, two, two})) << cut << ' ' << then;
+        }
+}
+
+TEST(Objects, EndWithWhatIsNoneAndKeepNoMoreThanTheirLimit) {
+    std::vector<std::string> whole;
+    reference::Objects noise(100);
+    EXPECT_FALSE(noise.feed("{}\nx{}", whole));
+    EXPECT_EQ(whole, std::vector<std::string>{"{}"});
+    EXPECT_FALSE(noise.feed("{}", whole));
+    EXPECT_EQ(whole.size(), 1u);
+    reference::Objects large(100);
+    EXPECT_TRUE(large.feed("{\"a\":\"" + std::string(90, 'x'), whole));
+    EXPECT_FALSE(large.feed(std::string(20, 'x'), whole));
+    EXPECT_FALSE(large.feed("\"}", whole));
+    reference::Objects at_once(100);
+    EXPECT_FALSE(at_once.feed("{\"a\":\"" + std::string(200, 'x') + "\"}", whole));
+    EXPECT_EQ(whole.size(), 1u);
+}
+
+// The same bytes as lists.
+TEST(ListReader, CutsIndentedListsWhereverTheReadsFallAndEndsWithWhatIsNone) {
+    const std::string one = "{\n  \"rev\": 2,\r\n\t\"targets\": [ {\n\"uid\": \"}\\\"]{\"\n } ]\n}";
+    const std::string two = "{\"rev\":3,\"targets\":[]}";
+    const std::string all = "\n\n" + one + "\r\n \n" + two + two + "\n\n";
+    for (std::size_t cut = 0; cut <= all.size(); ++cut)
+        for (std::size_t then = cut; then <= all.size(); then += 7) {
+            Reading reading;
+            for (const auto& part : {all.substr(0, cut), all.substr(cut, then - cut), all.substr(then)})
+                ASSERT_TRUE(reading.feed(part));
+            ASSERT_EQ(reading.kept.order, "bebebe") << cut << ' ' << then;
+            ASSERT_EQ(reading.kept.left_out[0], (LeftOut{1, 0}));
+            ASSERT_EQ(reading.kept.news[0].version, 2u);
+            ASSERT_EQ(reading.kept.news[2].version, 3u);
+        }
+    Reading noise;
+    EXPECT_FALSE(noise.feed("{\"rev\":1}\nx{\"rev\":2}"));
+    EXPECT_EQ(noise.kept.order, "be");
+    EXPECT_EQ(noise.reader.fault(), "what is between two lists is no space");
+    EXPECT_FALSE(noise.feed("{\"rev\":2}"));
+    EXPECT_EQ(noise.kept.order, "be");
+    Reading none;
+    EXPECT_FALSE(none.feed("{}"));
+    EXPECT_EQ(none.kept.order, "");
+    EXPECT_EQ(none.reader.fault(), "no rev that can be read");
+}
+
 // ---- the hard cases ---------------------------------------------------------------------------------------
 
 TEST(ListReader, AWholeListInTheMiddleOfABurstKeepsItsPlace) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -124,6 +124,7 @@
             return in >> instances_, void();  // dispatchers in the settings, from the next start
         if (who == "reports") return reports_ = true, void();
         if (who == "sockets") return in >> sockets_, void();
+        if (who == "known") return in >> unread_, void();
         if (who == "go") return signal_child(SIGCONT);
         if (who == "wait") {
             int ms = 0;
@@ -427,7 +428,12 @@
         site.instances = instances_;
         site.reports = reports_;
         site.sockets = sockets_;
-        std::ofstream(folder_ + "/config.json") << site_config(site);
+        auto text = site_config(site);
+        static constexpr std::string_view targets = "\"targets\":[";
+        std::string unread;
+        for (int i = 0; i < unread_; ++i) unread += "0,";
+        text.insert(text.find(targets) + targets.size(), unread);
+        std::ofstream(folder_ + "/config.json") << text;
     }
 
     void replace(const std::string& extra) {
@@ -581,7 +587,7 @@
     std::string folder_;
     double disk_mb_ = 3;
     int instances_ = 3;
-    int sockets_ = 256;
+    int sockets_ = 256, unread_ = 0;
     bool reports_ = false;
     std::uint16_t port_ = 0, admin_port_ = 0, former_admin_ = 0;
     Descriptor heir_;
