--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "cluster/known.hpp"
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
@@ -12,9 +13,10 @@
 namespace brasslift::cluster {
 namespace {
 
-constexpr std::size_t most_object = 8 * 1024 * 1024;
-constexpr http::Limits watch_limits{16 * 1024, most_object};
-constexpr std::size_t most_hosts = 20000;
+constexpr ListBounds list_bounds;
+constexpr http::Limits watch_limits{16 * 1024, list_bounds.most_bytes};
+// What the watch reads in one turn of the loop takes no longer, but for one read.
+constexpr double read_ms = 2;
 // Records that are worked off after a whole list before the loop has its turn: about a millisecond.
 constexpr std::size_t sweep_slice = 8192;
 // Parts of the memory limit that the table and what is awake may take, and what a host that is awake takes in
@@ -28,38 +30,48 @@
 
 }  // namespace
 
-std::optional<News> read_news(const config::Flat& flat, const config::Config& config) {
-    const double version = config::number_or(flat, "rev", -1);
-    if (version < 0 || version > 4294967295.0) return std::nullopt;
-    News news;
-    news.version = static_cast<std::uint32_t>(version);
-    news.whole = config::text_or(flat, "all") == "true";
-    const auto count = static_cast<std::size_t>(std::max(0.0, config::number_or(flat, "targets.count", 0)));
-    for (std::size_t i = 0; i < std::min(count, most_hosts); ++i) {
-        const auto at = "targets." + std::to_string(i) + '.';
-        News::Line line;
-        line.uid = config::text_or(flat, at + "uid");
-        const auto address = runtime::parse_address(config::text_or(flat, at + "endpoint"));
-        const double group = config::number_or(flat, at + "pod_group", -1);
-        const auto state = config::text_or(flat, at + "state");
-        if (line.uid.empty() || group < 0 || group > 65535 || (!address && state != "Gone")) {
-            runtime::log("cluster", "an entry of the list cannot be read");
-            continue;
-        }
-        if (address) line.address = *address;
-        line.listing.destination = static_cast<std::uint16_t>(group);
-        line.listing.zone = static_cast<std::uint16_t>(
-            std::max(0, config::place_of(config.zones, config::text_or(flat, at + "az"))));
-        line.listing.kind = static_cast<std::uint8_t>(
-            std::max(0, config::place_of(config.kinds, config::text_or(flat, at + "model"))));
-        line.listing.state = state == "Ready"  ? ListingState::ready
-                             : state == "Gone" ? ListingState::gone
-                                               : ListingState::draining;
-        line.listing.weight = config::number_or(flat, at + "capacity_hint", 0);
-        news.lines.push_back(std::move(line));
+// Whole lists go straight into the table, so that they are never held; changes, and whatever others share,
+// are gathered. One that does not come to its end leaves nothing.
+struct Cluster::Lists : ListSink {
+    Lists(Cluster& owner, Tell t) : cluster(owner), tell(std::move(t)) {}
+    ~Lists() override {
+        if (staging) cluster.cut_whole();
     }
-    return news;
-}
+    Lists(const Lists&) = delete;
+    Lists& operator=(const Lists&) = delete;
+
+    void begin(const ListHead& head) override {
+        coming = {head.whole, head.version, {}};
+        staging = head.whole && cluster.share_ == nullptr;
+        if (staging) cluster.begin_whole(std::exchange(whole, {}));
+    }
+    void line(News::Line&& line) override {
+        if (!staging)
+            coming.lines.push_back(std::move(line));
+        else
+            fits = fits && cluster.stage(line);
+    }
+    void end() override {
+        if (left_out != nullptr && left_out->any()) runtime::log("cluster", "%s", as_text(*left_out).c_str());
+        if (!fits) return cut({});
+        if (std::exchange(staging, false))
+            tell(cluster.end_whole(coming.version));
+        else
+            whole.push_back(std::exchange(coming, {}));
+        any = true;
+    }
+    void cut(std::string_view) override {
+        if (std::exchange(staging, false)) cluster.cut_whole();
+    }
+
+    Cluster& cluster;
+    Tell tell;
+    const LeftOut* left_out = nullptr;
+    bool staging = false, fits = true;
+    bool any = false;  // came to its end
+    News coming;
+    std::vector<News> whole;  // that are still to be applied
+};
 
 Cluster::Cluster(runtime::Scheduler& scheduler, const config::Config& config, runtime::Address discovery,
                  upstream::Pool& pool, double forget_ms)
@@ -73,9 +85,14 @@
       mailbox_(waker_),
       pace_(config.seed, {config.settings.senders, !config.settings.list_by_ask, config.drain_grace_ms}) {}
 
-dispatch::Listed Cluster::begin_with(const News& known) {
-    if (share_ != nullptr) share_->own(known, 0);
-    return apply(known);
+dispatch::Listed Cluster::begin_with_known() {
+    dispatch::Listed first;
+    Lists lists(*this, [&first](dispatch::Listed listed) { first = std::move(listed); });
+    const bool sound = read_known(config_, lists) && lists.fits;
+    finish_sweep();
+    if (!sound || lists.whole.empty()) return first;
+    if (share_ != nullptr) share_->own(lists.whole.back(), 0);
+    return apply(lists.whole.back());
 }
 
 upstream::HostState Cluster::state_of(const HostView& host) const {
@@ -182,10 +199,8 @@
 }
 
 dispatch::Listed Cluster::apply(const News& news) {
-    version_ = news.version;
     finish_sweep();
     dispatch::Listed listed;
-    listed.whole = news.whole;
     bool fits = true;
     if (news.whole) {
         table_.begin_whole();
@@ -198,9 +213,8 @@
     } else {
         for (const auto& line : news.lines) fits = take_line(line, listed.lines) && fits;
     }
-    if (!fits && !std::exchange(full_told_, true))
-        runtime::log("cluster", "the list needs more than %.0f MB: what does not fit is left out",
-                     config_.memory_mb * table_share);
+    if (!fits) tell_full();
+    if (fits || !news.whole) version_ = news.version;
     return listed;
 }
 
@@ -374,23 +388,35 @@
     const auto request = watch_request(asked_);
     if (socket->write(request).count != request.size()) co_return unreachable;
     http::Parser parser(http::Parser::Side::response, watch_limits);
-    Objects objects(most_object);
+    Lists lists(*this, tell_);
+    ListReader reader(config_, list_bounds, lists);
+    lists.left_out = &reader.left_out();
+    const auto end_of = [&reader](WatchEnd how) {
+        if (reader.inside()) runtime::log("cluster", "the watch ended within a list: nothing of it holds");
+        reader.stop();
+        return Ended{how};
+    };
     bool heard = false;
     char part[16384];
     for (;;) {
+        // A large list comes faster than it is read: whoever else waits for the loop has its turn too.
+        if (scheduler_.turn_ms() > read_ms) {
+            co_await runtime::next_turn(scheduler_);
+            if (moved_) co_return Ended{WatchEnd::heard};
+        }
         const auto got = socket->read(part, sizeof part);
         if (got.io == runtime::Io::blocked) {
             // A call that was taken and then nothing: for the pace as if it had not been.
-            if (scheduler_.now() >= until) co_return Ended{heard ? WatchEnd::silent : WatchEnd::unreachable};
+            if (scheduler_.now() >= until) co_return end_of(heard ? WatchEnd::silent : WatchEnd::unreachable);
             co_await waker.wait(until);
             if (moved_) co_return Ended{WatchEnd::heard};
             continue;
         }
         // One that was taken and ended before it said anything is one too many.
         if (got.io != runtime::Io::done)
-            co_return Ended{heard                 ? WatchEnd::heard
-                            : parser.has_status() ? WatchEnd::refused
-                                                  : WatchEnd::unreachable};
+            co_return end_of(heard                 ? WatchEnd::heard
+                             : parser.has_status() ? WatchEnd::refused
+                                                   : WatchEnd::unreachable);
         until = scheduler_.now() + WatchPace::silence_ms;
         parser.feed({part, got.count});
         if (parser.has_status() && parser.message().status != 200) {
@@ -401,10 +427,13 @@
         }
         const auto body = std::exchange(parser.message().body, {});
         heard = heard || !body.empty();
-        const auto taken = take_objects(objects, body);
+        const auto taken = take(reader, lists, body);
         if (taken == Taken::unreadable) co_return unreachable;
+        if (parser.fault() == http::Fault::body_too_large)
+            runtime::log("cluster", "what the watch says is larger than %zu bytes and is not read",
+                         watch_limits.body);
         if (parser.complete() || parser.fault() != http::Fault::none)
-            co_return Ended{heard ? WatchEnd::heard : WatchEnd::unreachable};
+            co_return end_of(heard ? WatchEnd::heard : WatchEnd::unreachable);
         // In a large fleet the watch is let go with what it brought, so that others get one too.
         if (taken == Taken::news && pace_.lets_go()) co_return Ended{WatchEnd::heard};
     }
@@ -412,24 +441,50 @@
 
 // What cannot be read may have told something: the whole list is asked for, and nothing behind it is
 // believed.
-Cluster::Taken Cluster::take_objects(Objects& objects, std::string_view bytes) {
-    std::vector<std::string> whole;
-    bool sound = objects.feed(bytes, whole);
-    bool any = false;
-    for (const auto& object : whole) {
-        const auto flat = config::flatten(object);
-        auto news = flat ? read_news(*flat, config_) : std::nullopt;
-        sound = sound && news;
-        if (!news) break;
-        const auto after = std::exchange(asked_, news->version);
+Cluster::Taken Cluster::take(ListReader& reader, Lists& lists, std::string_view bytes) {
+    lists.any = false;
+    const bool sound = reader.feed(bytes);
+    for (auto& list : std::exchange(lists.whole, {})) {
+        const auto after = std::exchange(asked_, list.version);
+        std::optional<News> news(std::move(list));
         if (share_ != nullptr) news = share_->own(*news, after);
         if (news) mailbox_.put(std::move(*news));
-        any = heard_ = true;
     }
-    if (sound) return any ? Taken::news : Taken::nothing;
-    runtime::log("cluster", "what the watch says cannot be read: the whole list is asked for");
+    heard_ = heard_ || lists.any;
+    if (sound && lists.fits) return lists.any ? Taken::news : Taken::nothing;
+    if (lists.fits)
+        runtime::log("cluster", "what the watch says cannot be read (%s): the whole list is asked for",
+                     reader.fault().c_str());
+    else
+        tell_full();
     asked_ = 0;
     return Taken::unreadable;
 }
 
+// What came before it holds first.
+void Cluster::begin_whole(std::vector<News> before) {
+    while (auto news = mailbox_.take()) tell_(apply(*news));
+    for (const auto& news : before) tell_(apply(news));
+    finish_sweep();
+    table_.begin_whole();
+}
+
+dispatch::Listed Cluster::end_whole(std::uint32_t version) {
+    asked_ = version_ = version;
+    auto listed = commit();
+    waker_.notify();  // the sweep
+    return listed;
+}
+
+void Cluster::cut_whole() {
+    table_.abort();
+    waker_.notify();
+}
+
+void Cluster::tell_full() {
+    if (std::exchange(full_told_, true)) return;
+    runtime::log("cluster", "the list needs more than %.0f MB, a part of the memory limit: it is not taken",
+                 config_.memory_mb * table_share);
+}
+
 }  // namespace brasslift::cluster
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -9,7 +9,8 @@
 #include <set>
 #include <string>
 
-#include "cluster/objects.hpp"
+#include "cluster/list_reader.hpp"
+#include "cluster/news.hpp"
 #include "cluster/pace.hpp"
 #include "cluster/share.hpp"
 #include "cluster/table.hpp"
@@ -22,21 +23,6 @@
 
 namespace brasslift::cluster {
 
-// One list of discovery's, whole or changes.
-struct News {
-    bool whole = false;
-    std::uint32_t version = 0;
-    struct Line {
-        std::string uid;
-        runtime::Address address;  // port 0: as it was
-        Listing listing;           // its endpoint is filled in by the cluster
-    };
-    std::vector<Line> lines;
-};
-
-// Nothing where the object cannot be read; lines that cannot be read are left out.
-std::optional<News> read_news(const config::Flat& flat, const config::Config& config);
-
 // What a cluster gives to its successor: hosts keep their numbers.
 struct KnownState {
     std::string uid;
@@ -74,7 +60,7 @@
     // What another one's agent has said; the host's own address stays where the line has none.
     void hear(News news) { mailbox_.put(std::move(news)); }
     // The list that the config has, as if it came from the agent.
-    dispatch::Listed begin_with(const News& known);
+    dispatch::Listed begin_with_known();
     // What keeps a host out that discovery lists as ready, by its uid: it is as one that drains.
     using KeepsOut = std::function<bool(const std::string& uid)>;
     void keep_out(KeepsOut keeps) { keeps_out_ = std::move(keeps); }
@@ -100,9 +86,10 @@
         int status = 0;             // of a refusal
         double retry_after_ms = 0;  // its
     };
+    struct Lists;  // that were read and have not been taken yet
     runtime::Task<Ended> follow();
     enum class Taken { nothing, news, unreadable };
-    Taken take_objects(Objects& objects, std::string_view bytes);
+    Taken take(ListReader& reader, Lists& lists, std::string_view bytes);
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
@@ -120,6 +107,10 @@
     void tell_gone(const HostView& host, std::vector<Listing>& lines);
     bool take_line(const News::Line& line, std::vector<Listing>& lines);
     bool stage(const News::Line& line);
+    void begin_whole(std::vector<News> before);
+    dispatch::Listed end_whole(std::uint32_t version);
+    void cut_whole();
+    void tell_full();
     void finish_sweep();
     dispatch::Listed commit();
     void wake_all(dispatch::Listed& listed);
