--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -179,7 +179,7 @@
 
 // How an endpoint stands at the moment.
 struct Standing {
-    bool rests = false;            // its destination has no message, and nothing was sent there of late
+    bool rests = false;            // its destination has no message
     bool avoided = true;           // not in use by the list, or judged to be out
     double window = 0;             // the calls at a time that may be out
     Outage outage = Outage::none;  // what has not answered well since it last failed
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -197,8 +197,7 @@
         const auto& e = endpoints_[known->second];
         const auto& lane = lanes_[e.lane];
         const auto bad = [this](const Health& h) { return h.out || cold(h) || h.doubt < never; };
-        const bool rests =
-            destinations_[lane.destination].held == 0 && lane.last_send + window_idle_ms <= now_;
+        const bool rests = destinations_[lane.destination].held == 0;
         const bool avoided = e.state != ListingState::ready || e.health.out || lane.health.out;
         const auto outage = bad(lane.health) ? Outage::destination
                             : bad(e.health)  ? Outage::endpoint
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -118,7 +118,7 @@
 
 void Dispatcher::wake(std::uint16_t destination, Listed& listed) {
     awake_.emplace(destination, now_);
-    naps_.emplace_back(now_ + rest_ms, destination);
+    naps_.emplace_back(now_ + rest_ms_, destination);
     directory_->wake(destination, listed.lines);
 }
 
@@ -144,7 +144,7 @@
         naps_.pop_front();
         const auto used = awake_.find(destination);
         if (used == awake_.end()) continue;
-        const bool due = directory_->may_sleep() && now_ >= used->second + rest_ms;
+        const bool due = directory_->may_sleep() && now_ >= used->second + rest_ms_;
         std::vector<Listing> gone;
         const bool sleeps = due && directory_->sleep(destination, [&](Listing& line) {
             const auto standing = sender_.standing(line.endpoint);
@@ -156,7 +156,7 @@
             return standing.rests;
         });
         if (!sleeps) {
-            naps_.emplace_back(now_ + rest_ms, destination);
+            naps_.emplace_back(now_ + rest_ms_, destination);
             continue;
         }
         for (const auto& line : gone) hosts_.erase(line.endpoint.address);
@@ -406,7 +406,7 @@
     for (const auto& line : listed.lines) {
         hosts_[line.endpoint.address] = line;
         if (awake_.emplace(line.destination, now_).second && directory_ != nullptr)
-            naps_.emplace_back(now_ + rest_ms, line.destination);
+            naps_.emplace_back(now_ + rest_ms_, line.destination);
     }
     for (const auto& host : listed.forgotten) hosts_.erase(host.address);
     if (!listed.whole && listed.lines.empty()) return;
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -21,8 +21,6 @@
 
 namespace brasslift::dispatch {
 
-// A destination that nothing has come for in so long may sleep; the module drops its window after as long.
-constexpr double rest_ms = 60000;
 constexpr double full_pause_ms = 500;  // advice where the holding room or the store is full
 
 // What the core gives to its successor beside the store, which both share.
@@ -53,8 +51,11 @@
     void sync_by(Durable* durable) { durable_ = durable; }
     // Who is asked before new work is answered by the present rules; nullptr: nobody.
     void judge_by(const Authority* authority) { authority_ = authority; }
-    // Who knows the destinations that sleep; nullptr: none does.
-    void look_up_in(Directory* directory) { directory_ = directory; }
+    // Who knows the destinations that sleep, and after how long without a message one may; nullptr: none does.
+    void look_up_in(Directory* directory, double rest_ms = 60000) {
+        directory_ = directory;
+        rest_ms_ = rest_ms;
+    }
     std::uint64_t rules_version() const { return rules_version_; }
     // The calls at a time that the module's windows allow, by destination.
     std::map<std::uint16_t, double> windows() const;
@@ -177,6 +178,7 @@
     Durable* durable_ = nullptr;
     const Authority* authority_ = nullptr;
     Directory* directory_ = nullptr;
+    double rest_ms_ = 0;  // the module drops a window after a minute too
     std::uint64_t rules_version_ = 0;
     std::deque<Waiting> waiting_;
     Time now_ = 0;
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -28,7 +28,7 @@
     timers_.insert(state.timers.begin(), state.timers.end());
     for (const auto& line : state.hosts) hosts_[line.endpoint.address] = line;
     awake_ = state.awake;
-    for (const auto& [destination, used] : awake_) naps_.emplace_back(now_ + rest_ms, destination);
+    for (const auto& [destination, used] : awake_) naps_.emplace_back(now_ + rest_ms_, destination);
     list_heard_ = state.list_heard;
     flying_ = state.flying;
     return sender_.load(state.module);
--- a/src/lab/peers.cpp
+++ b/src/lab/peers.cpp
@@ -46,8 +46,9 @@
             if (reply.status < 0) continue;
             if (reply.after_ms > 0)
                 co_await runtime::sleep_until(scheduler_, scheduler_.now() + reply.after_ms);
-            const auto text =
-                reply.status == 0 ? std::string() : http::write_response(reply.status, {}, reply.body);
+            const auto text = reply.status == 0
+                                  ? std::string()
+                                  : http::write_response(reply.status, reply.headers, reply.body);
             const bool written = reply.status > 0 && c.socket.write(text).count == text.size();
             if (reply.told) reply.told(written);
             if (!written) co_return;
--- a/src/lab/peers.hpp
+++ b/src/lab/peers.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "http/parser.hpp"
+#include "http/writer.hpp"
 #include "lab/account.hpp"
 #include "lab/link.hpp"
 
@@ -21,6 +22,7 @@
         std::string body;
         double after_ms = 0;
         std::function<void(bool written)> told = {};
+        http::HeaderList headers = {};
     };
     using Handle = std::function<Reply(const http::Message&)>;
     Party(runtime::Scheduler& scheduler, Handle handle);
