Tell a lead by its term, and look at connections in steps

At 860 members a leader could lose its lead and have it again within one phase, so that its figures were half a voter's; the term tells that now. A look at all connections held the rig's loop, and with it the links between the real members, for 145 to 373 ms; it is taken in steps with the loop in between.

--- a/src/lab/member_fleet.cpp
+++ b/src/lab/member_fleet.cpp
@@ -238,6 +238,10 @@
     return -1;
 }
 
+std::uint64_t MemberFleet::term(int at) {
+    return number_in(call(at, "GET", "/members", "", patience_ms).body, "\"term\":");
+}
+
 std::uint64_t MemberFleet::version_in(const http::Message& answer) {
     return answer.status == 200 ? number_in(answer.body, "\"version\":") : 0;
 }
--- a/src/lab/member_fleet.hpp
+++ b/src/lab/member_fleet.hpp
@@ -66,6 +66,7 @@
     // Whether everybody who runs has a lease now.
     bool all_leased();
     int leader();  // -1: none is known
+    std::uint64_t term(int at);
 
     // An operators' call at a real one; status 0: nobody answered.
     http::Message call(int at, const std::string& method, const std::string& target,
--- a/src/lab/proc_figures.cpp
+++ b/src/lab/proc_figures.cpp
@@ -86,15 +86,17 @@
     return figures;
 }
 
-std::map<pid_t, TcpBytes> tcp_bytes(const std::vector<pid_t>& ids) {
+std::map<pid_t, TcpBytes> tcp_bytes(const std::vector<pid_t>& ids, const std::function<void()>& breathe) {
     std::map<std::uint64_t, pid_t> owners;
-    for (const auto id : ids)
+    for (const auto id : ids) {
         each_in(folder_of(id) + "/fd", [&](const fs::path& fd) {
             constexpr std::string_view socket = "socket:[";
             std::error_code gone;
             const auto target = fs::read_symlink(fd, gone).string();
             if (!gone && target.starts_with(socket)) owners[std::stoull(target.substr(socket.size()))] = id;
         });
+        if (breathe) breathe();
+    }
     std::map<pid_t, TcpBytes> bytes;
     each_connection([&](std::uint64_t inode, std::uint64_t count) {
         if (const auto owner = owners.find(inode); inode != 0 && owner != owners.end())
--- a/src/lab/scale_members.cpp
+++ b/src/lab/scale_members.cpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <utility>
 
 #include "lab/member_fleet.hpp"
 #include "lab/scale.hpp"
@@ -86,9 +87,10 @@
     void miss(const std::string& what) { point_.note += (point_.note.empty() ? "" : "; ") + what; }
     bool ready(double most_ms, const std::string& when);
     std::vector<pid_t> ids() const;
-    double hollow_cpu() const;
-    Window open() const;
-    std::map<std::string, Used> close(const Window& window) const;
+    double hollow_cpu();
+    Window open();
+    void breathe() { fleet_.run_for(1); }
+    std::map<std::string, Used> close(const Window& window);
     bool same_leader(const std::string& when);
     // What measures while one member leads; measured anew where another one does by the end.
     void measure_led(const std::string& when, const std::function<void()>& measure);
@@ -118,6 +120,7 @@
     MemberFleet fleet_;
     Point point_;
     int leader_ = -1;
+    std::uint64_t term_ = 0;                               // in which it leads
     std::map<std::string, double> rest_cpu_, rest_bytes_;  // a second
 };
 
@@ -127,25 +130,30 @@
     return ids;
 }
 
-double MembersRun::hollow_cpu() const {
+double MembersRun::hollow_cpu() {
     double ms = 0;
-    for (const auto id : fleet_.hollow_ids()) ms += proc_figures(id).cpu_ms;
+    for (const auto id : fleet_.hollow_ids()) {
+        ms += proc_figures(id).cpu_ms;
+        breathe();
+    }
     return ms;
 }
 
-MembersRun::Window MembersRun::open() const {
+MembersRun::Window MembersRun::open() {
     Window window;
+    window.hollow_cpu_ms = hollow_cpu();
     window.from = members::boot_now();
     for (const auto id : ids()) window.before.push_back(proc_figures(id));
-    window.bytes = tcp_bytes(ids());
-    window.hollow_cpu_ms = hollow_cpu();
+    window.bytes = tcp_bytes(ids(), [this] { breathe(); });
     return window;
 }
 
 // By role; of the voters that do not lead and of the dispatchers, the medians.
-std::map<std::string, MembersRun::Used> MembersRun::close(const Window& window) const {
+std::map<std::string, MembersRun::Used> MembersRun::close(const Window& window) {
     std::map<std::string, std::vector<Used>> all;
-    const auto bytes = tcp_bytes(ids());
+    std::vector<ProcFigures> figures;
+    for (const auto id : ids()) figures.push_back(proc_figures(id));
+    const auto bytes = tcp_bytes(ids(), [this] { breathe(); });
     const auto of = [](const auto& by_id, pid_t id) {
         const auto found = by_id.find(id);
         return found == by_id.end() ? TcpBytes() : found->second;
@@ -153,7 +161,7 @@
     for (int i = 0; i < fleet_.real(); ++i) {
         const auto id = fleet_.id_of(i);
         Used used;
-        used.now = proc_figures(id);
+        used.now = figures[static_cast<std::size_t>(i)];
         used.cpu_ms = used.now.cpu_ms - window.before[static_cast<std::size_t>(i)].cpu_ms;
         used.bytes = static_cast<double>(bytes_between(of(window.bytes, id), of(bytes, id)));
         all[i == leader_ ? "leader" : i < fleet_.voters() ? "voter" : "dispatcher"].push_back(used);
@@ -181,14 +189,17 @@
         miss("nobody leads " + when);
     const bool all = fleet_.await([&] { return fleet_.all_leased(); }, until - members::boot_now());
     if (!all) miss("not all have a lease " + when);
+    if (leader_ >= 0) term_ = fleet_.term(leader_);
     return all && leader_ >= 0;
 }
 
 bool MembersRun::same_leader(const std::string& when) {
     const int before = leader_;
     fleet_.await([&] { return (leader_ = fleet_.leader()) >= 0; }, 10000);
-    if (leader_ != before) miss("the leader changed " + when);
-    return leader_ == before;
+    const auto term = std::exchange(term_, leader_ < 0 ? 0 : fleet_.term(leader_));
+    if (leader_ == before && term_ == term) return true;
+    miss("the leader changed " + when);
+    return false;
 }
 
 void MembersRun::measure_led(const std::string& when, const std::function<void()>& measure) {
@@ -204,9 +215,9 @@
 void MembersRun::rest() {
     const auto window = open();
     fleet_.run_for(options_.seconds * 1000);
-    const auto hollow_ms = hollow_cpu() - window.hollow_cpu_ms;
-    const auto roles = close(window);
     const double ms = members::boot_now() - window.from;
+    const auto roles = close(window);
+    const auto hollow_ms = hollow_cpu() - window.hollow_cpu_ms;
     for (const auto& [role, used] : roles) {
         rest_cpu_[role] = used.cpu_ms / ms * 1000;
         rest_bytes_[role] = used.bytes / ms * 1000;
@@ -232,9 +243,9 @@
         done += fleet_.publish(leader_).status == 200 ? 1 : 0;
         fleet_.run_for(next - members::boot_now());
     }
+    const double seconds = (members::boot_now() - window.from) / 1000;
     const auto roles = close(window);
     if (done == 0) return miss("no publish was agreed");
-    const double seconds = (members::boot_now() - window.from) / 1000;
     for (const auto& [role, used] : roles) {
         const double cpu = std::max(0.0, used.cpu_ms - rest_cpu_[role] * seconds) / done;
         const double bytes = std::max(0.0, used.bytes - rest_bytes_[role] * seconds) / done;
