Hold the list reader to half pairs and to texts too large beside the uid

Of 22 planted faults in the reader the tests had missed two: the second half of a surrogate pair that is none, and an entry whose text is too large in another value than its uid. A third was none: what it took out did nothing, and is gone.

--- a/src/cluster/list_reader.cpp
+++ b/src/cluster/list_reader.cpp
@@ -304,9 +304,8 @@
 void ListReader::end_scalar(bool null) {
     at_ = At::after;
     if (in_targets_ && depth_ == 2) ++left_out_.unreadable;
-    if (!wanted()) {
-        if (joined_depth_ == 0) field_ = Field::none;
-    } else if (joined_depth_ == 0) {
+    if (!wanted()) return;
+    if (joined_depth_ == 0) {
         if (!null) put(as_kept(text_));
         field_ = Field::none;
     } else {
--- a/tests/list_reader_test.cpp
+++ b/tests/list_reader_test.cpp
@@ -169,8 +169,8 @@
                      "65536"});
     }
     std::string faulty() {
-        return pick({"1e999", "nul", "+1", "-", "0x", "inf", "-inf", "\"\\ud83d\"", "\"\\x\"", "\"\n\"", "",
-                     "1 2", "\"\\u12g4\"", "{]", "[}"});
+        return pick({"1e999", "nul", "+1", "-", "0x", "inf", "-inf", "\"\\ud83d\"", "\"\\ud83d\\u0041\"",
+                     "\"\\x\"", "\"\n\"", "", "1 2", "\"\\u12g4\"", "{]", "[}"});
     }
     std::string value(int depth) {
         if (one_in(random_, 400)) return faulty();
@@ -547,6 +547,14 @@
     EXPECT_EQ(lines[2].listing.destination, 3);
 }
 
+TEST(ListReader, HalfASurrogatePairIsNoText) {
+    for (const char* const half : {"\\ud83d", "\\ud83dx", "\\ud83d\\n", "\\ud83d\\u0041", "\\ud83d\\ud83d"}) {
+        Reading reading;
+        EXPECT_FALSE(reading.feed(list(1, true, entry(half)))) << half;
+        EXPECT_EQ(reading.reader.fault(), "half a surrogate pair") << half;
+    }
+}
+
 TEST(ListReader, ANumberBeyondTheDestinationsIsNeverAnotherOnes) {
     const auto beyond = static_cast<unsigned long long>(most_destination) + 1;
     Reading reading;
@@ -582,6 +590,14 @@
     EXPECT_EQ(reading.kept.news[0].lines[0].uid, "a");
     EXPECT_EQ(reading.kept.news[0].lines[1].uid.size(), 16000u);
     EXPECT_EQ(reading.reader.left_out(), (LeftOut{2, 0}));
+    // It is not as if the value were not there.
+    ASSERT_TRUE(
+        reading.feed(list(2, true, "{\"az\":\"" + large + "\"," + entry("b").substr(1) + ',' + entry("c"))));
+    ASSERT_EQ(reading.kept.news.at(1).lines.size(), 1u);
+    EXPECT_EQ(reading.kept.news[1].lines[0].uid, "c");
+    Reading word(bounds);
+    EXPECT_FALSE(word.feed("{\"rev\":" + std::string(20000, '1')));
+    EXPECT_EQ(word.reader.fault(), "a number is too long");
 }
 
 TEST(ListReader, NestsAsDeepAsTheConfigsReader) {
