--- a/tests/lang_test.cpp
+++ b/tests/lang_test.cpp
@@ -456,5 +456,22 @@
     EXPECT_EQ(judge_entry("5-9", ListKind::destinations_shut, nullptr), "\"5-9\" is no destination");
 }
 
+TEST(Members, AreAThousandAtMost) {
+    const auto told_of = [](int members) {
+        std::string text = "members {\n  cluster: \"c\"\n";
+        for (int i = 0; i < members; ++i)
+            text += "  member { name: \"n" + std::to_string(i) +
+                    "\" address: \"127.0.0.1:" + std::to_string(1000 + i) +
+                    "\" voter: " + (i < 3 ? "ON" : "OFF") + " }\n";
+        Result result;
+        load_text(text + "}\n", result);
+        return result.told();
+    };
+    EXPECT_EQ(told_of(1000), "");
+    EXPECT_NE(told_of(1001).find("f:1003:3: error: more than 1000 members; fix: remove some"),
+              std::string::npos)
+        << told_of(1001);
+}
+
 }  // namespace
 }  // namespace brasslift::lang
