--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -15,6 +15,7 @@
 
 using Time = double;  // milliseconds on the caller's clock; only differences matter
 using MessageId = std::uint64_t;
+using DestinationId = std::uint32_t;  // by its number, as clients and lists say it
 
 struct EndpointId {
     std::uint32_t address = 0;
@@ -79,7 +80,7 @@
 struct Listing {
     EndpointId endpoint;
     std::uint16_t zone = 0;
-    std::uint16_t destination = 0;
+    DestinationId destination = 0;
     std::uint8_t kind = 0;
     ListingState state = ListingState::ready;
     double weight = 0;
@@ -101,7 +102,7 @@
     std::uint16_t tenant = 0;
     std::uint64_t key = 0;  // 0: none
     Time due = 0;
-    std::uint16_t destination = 0;
+    DestinationId destination = 0;
 };
 
 // spoilt: it ran, or may have, and an answer came that cannot be read; says nothing of the endpoint's health.
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -156,8 +156,9 @@
     arrival.key = in.at<std::uint64_t>(16);
     arrival.due = in.number(24, "due_ms");
     const auto node = in.at<float>(40);
+    // As wide as the wire's lists have them.
     if (!(node >= 0 && node <= 65535)) in.fault("called_node", "not a destination");
-    arrival.destination = static_cast<std::uint16_t>(node);
+    arrival.destination = static_cast<DestinationId>(node);
     return arrival;
 }
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -107,7 +107,7 @@
 using Waiting = std::set<std::pair<Time, MessageId>>;
 
 struct Destination {
-    std::uint16_t number = 0;
+    DestinationId number = 0;
     std::vector<Waiting> ready;  // by class, and within and beyond the tenant's share
     std::vector<int> lanes = {};
     std::size_t waiting = 0, held = 0;  // held: also those that sleep, wait for a turn or are out
@@ -278,7 +278,7 @@
         touch(lane.destination);
     }
 
-    int destination_of(std::uint16_t number) {
+    int destination_of(DestinationId number) {
         const auto [it, fresh] = numbers_.try_emplace(number, -1);
         const std::vector<Waiting> ready(2 * s_.classes.size());
         if (fresh) destinations_[it->second = destinations_.add()] = {number, ready};
@@ -1041,7 +1041,7 @@
     state::Places<Lane> lanes_;
     state::Places<Destination> destinations_;
     std::map<EndpointId, int> by_id_;
-    std::map<std::uint16_t, int> numbers_;
+    std::map<DestinationId, int> numbers_;
     std::unordered_map<MessageId, Message> messages_;
     std::unordered_map<std::uint64_t, KeyLine> keys_;
     std::unordered_map<std::uint64_t, Call> calls_;
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -222,7 +222,7 @@
     return static_cast<double>(pool_.known()) * awake_bytes < config_.memory_mb * 1e6 * awake_share;
 }
 
-void Cluster::wake(std::uint16_t destination, std::vector<Listing>& hosts) {
+void Cluster::wake(DestinationId destination, std::vector<Listing>& hosts) {
     awake_.insert(destination);
     std::vector<Slot> slots;
     table_.hosts_of(destination, slots);
@@ -231,7 +231,7 @@
             tell_host(host, hosts);
 }
 
-bool Cluster::sleep(std::uint16_t destination, const std::function<bool(Listing&)>& rest) {
+bool Cluster::sleep(DestinationId destination, const std::function<bool(Listing&)>& rest) {
     if (!table_.swept()) return false;  // what the last list left is still to be told
     std::vector<Slot> slots;
     std::vector<Listing> lines;
@@ -314,7 +314,7 @@
     std::vector<Table::Forgotten> forgotten;
     table_.forget(before, sweep_slice, forgotten);
     for (const auto& host : forgotten)
-        if (awake_.count(static_cast<std::uint16_t>(host.destination)) != 0) forget({host.number, 0});
+        if (awake_.count(host.destination) != 0) forget({host.number, 0});
     for (; !orphans_.empty() && orphans_.front().first <= before; orphans_.pop_front())
         forget(orphans_.front().second);
     if (!all_awake_ && table_.size() < few_again) wake_all(listed);
@@ -324,7 +324,7 @@
 // So few are left that none needs to sleep.
 void Cluster::wake_all(dispatch::Listed& listed) {
     all_awake_ = true;
-    std::set<std::uint16_t> asleep;
+    std::set<DestinationId> asleep;
     table_.each([&](const HostView& host, Time) {
         if (awake_.count(host.listing.destination) == 0) asleep.insert(host.listing.destination);
     });
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -32,7 +32,7 @@
 };
 struct ClusterState {
     std::vector<KnownState> hosts;
-    std::vector<std::uint16_t> awake;
+    std::vector<DestinationId> awake;
     std::deque<std::pair<Time, EndpointId>> orphans;
     std::uint32_t last_id = 0, version = 0;
     bool heard = false;
@@ -72,11 +72,11 @@
     std::size_t awake() const { return awake_.size(); }     // destinations
     ClusterState save();
 
-    bool knows(std::uint16_t destination) const override { return table_.knows(destination); }
+    bool knows(DestinationId destination) const override { return table_.knows(destination); }
     bool has_room() const override;
-    void wake(std::uint16_t destination, std::vector<Listing>& hosts) override;
+    void wake(DestinationId destination, std::vector<Listing>& hosts) override;
     bool may_sleep() const override { return !all_awake_; }
-    bool sleep(std::uint16_t destination, const std::function<bool(Listing&)>& rest) override;
+    bool sleep(DestinationId destination, const std::function<bool(Listing&)>& rest) override;
     void adopt(const ClusterState& state);
     bool heard() const { return heard_; }  // a list or changes, since the start
 
@@ -121,7 +121,7 @@
     bool table_full() const;
 
     Table table_;
-    std::set<std::uint16_t> awake_;  // destinations that the core is told of
+    std::set<DestinationId> awake_;  // destinations that the core is told of
     bool all_awake_ = true;
     // Numbers of hosts that the table has no record of any more while the pool and the core still have them.
     std::deque<std::pair<Time, EndpointId>> orphans_;
--- a/src/cluster/list_reader.cpp
+++ b/src/cluster/list_reader.cpp
@@ -442,7 +442,7 @@
     line.uid = text_of(Field::uid);
     if (address) line.address = *address;
     auto& listing = line.listing;
-    listing.destination = static_cast<Destination>(*group);
+    listing.destination = static_cast<DestinationId>(*group);
     listing.zone = place_or_first<decltype(listing.zone)>(config_.zones, text_of(Field::az));
     listing.kind = place_or_first<decltype(listing.kind)>(config_.kinds, text_of(Field::model));
     listing.state = state == "Ready"  ? ListingState::ready
--- a/src/cluster/list_reader.hpp
+++ b/src/cluster/list_reader.hpp
@@ -76,8 +76,7 @@
 std::string as_text(const LeftOut& left);
 
 // Destinations are as wide as the module has them: a number beyond is never another destination's.
-using Destination = decltype(Listing::destination);
-constexpr Destination most_destination = std::numeric_limits<Destination>::max();
+constexpr DestinationId most_destination = std::numeric_limits<DestinationId>::max();
 
 class ListReader {
 public:
--- a/src/cluster/table.cpp
+++ b/src/cluster/table.cpp
@@ -83,18 +83,18 @@
     return find_uid(uid, [this](const Record& r) { return holds(r); });
 }
 
-Slot Table::head_of(std::uint32_t destination) const {
+Slot Table::head_of(DestinationId destination) const {
     return by_destination_.find(hash_of(destination),
                                 [&](Slot slot) { return record(slot).destination == destination; });
 }
 
-bool Table::knows(std::uint32_t destination) const {
+bool Table::knows(DestinationId destination) const {
     for (auto slot = head_of(destination); slot != no_slot; slot = record(slot).next)
         if (record(slot).marker != 0 || holds(record(slot))) return true;
     return false;
 }
 
-void Table::hosts_of(std::uint32_t destination, std::vector<Slot>& into) const {
+void Table::hosts_of(DestinationId destination, std::vector<Slot>& into) const {
     for (auto slot = head_of(destination); slot != no_slot; slot = record(slot).next)
         if (holds(record(slot))) into.push_back(slot);
 }
@@ -108,7 +108,7 @@
     auto& line = host.listing;
     line.endpoint = {r.number, 0};
     line.zone = r.zone;
-    line.destination = static_cast<decltype(line.destination)>(r.destination);
+    line.destination = r.destination;
     line.kind = r.kind;
     line.state = static_cast<ListingState>(r.state);
     line.weight = r.weight;
@@ -384,7 +384,7 @@
         gone_line.zone = was.zone;
         gone_line.kind = was.kind;
         gone_line.weight = was.weight;
-        gone_line.destination = static_cast<decltype(gone_line.destination)>(was.destination);
+        gone_line.destination = was.destination;
         gone_line.state = ListingState::gone;
         set(version_of(other), {}, gone_line);
     });
@@ -402,7 +402,7 @@
     sweep_at_ = 0;
 }
 
-void Table::left_of(std::uint32_t destination, std::vector<HostView>& into) const {
+void Table::left_of(DestinationId destination, std::vector<HostView>& into) const {
     if (phase_ != Phase::committed) return;
     for (auto slot = head_of(destination); slot != no_slot; slot = record(slot).next) {
         const auto& r = record(slot);
@@ -414,7 +414,7 @@
         host.uid = r.uid.view();
         host.address = {r.ip, r.port};
         host.listing.endpoint = {r.number, 0};
-        host.listing.destination = static_cast<decltype(host.listing.destination)>(r.destination);
+        host.listing.destination = r.destination;
         host.listing.state = ListingState::gone;
         into.push_back(host);
     }
--- a/src/cluster/table.hpp
+++ b/src/cluster/table.hpp
@@ -76,11 +76,11 @@
     std::optional<HostView> at(Slot slot) const;  // nothing: not of the list that holds
     Slot find(std::string_view uid) const;
     // Whether some list has ever named it; it may be without hosts for a while.
-    bool knows(std::uint32_t destination) const;
+    bool knows(DestinationId destination) const;
     // Hosts of a destination, those that are gone included until they are forgotten.
-    void hosts_of(std::uint32_t destination, std::vector<Slot>& into) const;
+    void hosts_of(DestinationId destination, std::vector<Slot>& into) const;
     // Between commit() and the end of the sweep: hosts of a destination that the new list does not name.
-    void left_of(std::uint32_t destination, std::vector<HostView>& into) const;
+    void left_of(DestinationId destination, std::vector<HostView>& into) const;
     std::size_t size() const { return records_; }   // records in use, staged ones too
     std::size_t listed() const { return listed_; }  // not gone, those that drain included
     std::uint32_t last_number() const { return last_number_; }
@@ -91,7 +91,8 @@
 
     // ---- hosts that have gone
     struct Forgotten {
-        std::uint32_t number = 0, destination = 0;
+        std::uint32_t number = 0;
+        DestinationId destination = 0;
     };
     Time next_gone() const { return gone_.empty() ? never : gone_.front().at; }
     // Forgets hosts that have been gone since `before` or longer, at most so many.
@@ -112,7 +113,8 @@
         Uid uid;
         std::uint32_t number = 0;
         double weight = 0;
-        std::uint32_t ip = 0, next = no_slot, previous = no_slot, destination = 0;
+        std::uint32_t ip = 0, next = no_slot, previous = no_slot;
+        DestinationId destination = 0;
         std::uint32_t wait = 0, failed = 0;  // times by packed(); 0: none
         std::uint16_t port = 0, zone = 0;
         std::uint8_t kind = 0;
@@ -140,7 +142,7 @@
     bool gone(const Record& r) const { return r.state == static_cast<std::uint8_t>(ListingState::gone); }
     static std::uint64_t hash_of(std::string_view uid);
     static std::uint64_t hash_of(std::uint32_t ip, std::uint16_t port);
-    static std::uint64_t hash_of(std::uint32_t destination) {
+    static std::uint64_t hash_of(DestinationId destination) {
         return mixed(destination + 0x9e3779b97f4a7c15U);
     }
     std::uint32_t packed(Time at) const;
@@ -149,7 +151,7 @@
 
     template <class IsIt>
     Slot find_uid(std::string_view uid, const IsIt& is_it) const;
-    Slot head_of(std::uint32_t destination) const;
+    Slot head_of(DestinationId destination) const;
     Slot take_slot();
     // A record of its own for these values, in all indexes.
     Slot create(std::string_view uid, std::uint32_t number);
--- a/src/commands/config_command.cpp
+++ b/src/commands/config_command.cpp
@@ -10,6 +10,7 @@
 #include "commands/platform.hpp"
 #include "lang/meaning.hpp"
 #include "lang/tree.hpp"
+#include "lang/units.hpp"
 
 namespace brasslift::commands {
 namespace {
@@ -223,15 +224,20 @@
     Checked checked;
     check_into(checked, command.files[0], platform ? &*platform : nullptr);
     if (!sound(checked)) return found;
-    lang::Question question{(*given)["tenant"].as<std::string>(), (*given)["class"].as<std::string>(), -1};
+    lang::Question question{(*given)["tenant"].as<std::string>(), (*given)["class"].as<std::string>(), 0};
     const auto dest = (*given)["dest"].as<std::string>();
+    bool named = false;
     for (const auto& d : checked.document.config.destination())
-        if (d.name() == dest) question.destination = static_cast<int>(d.number());
-    if (question.destination < 0) {
-        if (dest.empty() || dest.size() > 5 || dest.find_first_not_of("0123456789") != std::string::npos ||
-            std::stoi(dest) > 65535)
+        if (d.name() == dest) {
+            question.destination = d.number();
+            named = true;
+        }
+    if (!named) {
+        const auto read = lang::read_destination(dest);
+        const auto* const number = std::get_if<lang::DestinationText>(&read);
+        if (number == nullptr || number->kind != lang::DestinationText::Kind::number)
             throw Usage("--dest: no destination is named '" + dest + "'");
-        question.destination = std::stoi(dest);
+        question.destination = number->from;
     }
     auto names = lang::names_in(checked.rules);
     const auto add = [](std::vector<std::string>& into, const std::string& name) {
--- a/src/dispatch/directory.hpp
+++ b/src/dispatch/directory.hpp
@@ -15,16 +15,16 @@
 public:
     virtual ~Directory() = default;
     // Whether some list has named it; it may be without hosts for a while.
-    virtual bool knows(std::uint16_t destination) const = 0;
+    virtual bool knows(DestinationId destination) const = 0;
     // Whether memory allows one more to wake.
     virtual bool has_room() const = 0;
     // From now on the core is told of its hosts; those that it has are appended.
-    virtual void wake(std::uint16_t destination, std::vector<Listing>& hosts) = 0;
+    virtual void wake(DestinationId destination, std::vector<Listing>& hosts) = 0;
     // Whether those that rest may sleep: in a small deployment none does.
     virtual bool may_sleep() const = 0;
     // From now on the core is told nothing of it. `rest` fills in what is to be remembered of a host and says
     // whether it rests; where one does not, or there are none, nothing happens. Whether it sleeps.
-    virtual bool sleep(std::uint16_t destination, const std::function<bool(Listing&)>& rest) = 0;
+    virtual bool sleep(DestinationId destination, const std::function<bool(Listing&)>& rest) = 0;
 };
 
 }  // namespace brasslift::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -116,7 +116,7 @@
     doze();
 }
 
-void Dispatcher::wake(std::uint16_t destination, Listed& listed) {
+void Dispatcher::wake(DestinationId destination, Listed& listed) {
     awake_.emplace(destination, now_);
     naps_.emplace_back(now_ + rest_ms, destination);
     directory_->wake(destination, listed.lines);
@@ -489,8 +489,8 @@
     tell_client({m.id, m.name, ending, again});
 }
 
-std::map<std::uint16_t, double> Dispatcher::windows() const {
-    std::map<std::uint16_t, double> sums;
+std::map<DestinationId, double> Dispatcher::windows() const {
+    std::map<DestinationId, double> sums;
     for (const auto& [address, line] : hosts_)
         if (line.state == ListingState::ready)
             sums[line.destination] += sender_.standing(line.endpoint).window;
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -30,7 +30,7 @@
     double wall_offset = 0;
     std::vector<std::pair<Time, std::uint32_t>> timers;
     std::vector<Listing> hosts;
-    std::map<std::uint16_t, Time> awake;
+    std::map<DestinationId, Time> awake;
     bool list_heard = false;
     std::uint64_t flying = 0;
     std::string module;
@@ -57,7 +57,7 @@
     void look_up_in(Directory* directory) { directory_ = directory; }
     std::uint64_t rules_version() const { return rules_version_; }
     // The calls at a time that the module's windows allow, by destination.
-    std::map<std::uint16_t, double> windows() const;
+    std::map<DestinationId, double> windows() const;
     // Tells the module its first list and what an earlier life took on; owed notices are sent again.
     void recover(const Listed& known);
     // The same of a predecessor, whose calls are still out. False: the state is not one of this module's.
@@ -88,7 +88,7 @@
     };
 
     void turn();
-    void wake(std::uint16_t destination, Listed& listed);
+    void wake(DestinationId destination, Listed& listed);
     void wake_for(const std::deque<Letter>& letters);
     void doze();
     void remember_ids();
@@ -197,8 +197,8 @@
     std::unordered_map<std::uint32_t, Listing> hosts_;
     // Destinations that the module knows, and when a message last came for each; one may be without hosts for
     // a while. Those that rest for long enough sleep, where the directory lets them.
-    std::map<std::uint16_t, Time> awake_;
-    std::deque<std::pair<Time, std::uint16_t>> naps_;  // when each is looked at, in that order
+    std::map<DestinationId, Time> awake_;
+    std::deque<std::pair<Time, DestinationId>> naps_;  // when each is looked at, in that order
     bool list_heard_ = false;                          // from discovery, since the start
     std::multimap<Time, std::uint32_t> timers_;
     std::size_t flying_ = 0;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -53,6 +53,8 @@
     const auto unreadable = [&](std::string_view key) {
         runtime::log("store", "a record of message %llu cannot be read",
                      static_cast<unsigned long long>(store::number_of(key).value_or(0)));
+        // Its record is kept, so that no other message may have its id.
+        last_id_ = std::max(last_id_, store::number_of(key).value_or(0));
     };
     std::size_t suspects = 0, orphans = 0;
     std::vector<MessageId> strays;
--- a/src/dispatch/observer.hpp
+++ b/src/dispatch/observer.hpp
@@ -16,7 +16,8 @@
 // A stream as its client handed it in.
 struct Seen {
     std::string_view name;
-    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+    std::uint16_t message_class = 0, tenant = 0;
+    DestinationId destination = 0;
     std::size_t bytes = 0;
     const Trace& trace;
     Time came = 0;
--- a/src/dispatch/records.cpp
+++ b/src/dispatch/records.cpp
@@ -1,19 +1,45 @@
 #include "dispatch/records.hpp"
 
+#include <limits>
+
 namespace brasslift::dispatch {
 
 using store::ValueReader;
 using store::ValueWriter;
 
+namespace {
+
+// Numbers that fit 16 bits stand as they did when all were so narrow. Others stand behind 16 bits of ones and
+// a length that no name has: an earlier version finds that it cannot read the record, and keeps it.
+using Narrow = std::uint16_t;
+constexpr Narrow narrow_ones = std::numeric_limits<Narrow>::max();
+constexpr auto no_length = std::numeric_limits<std::uint32_t>::max();
+
+void put_destination(ValueWriter& out, DestinationId destination) {
+    if (destination <= narrow_ones)
+        out.number(static_cast<Narrow>(destination));
+    else
+        out.number(narrow_ones).number(no_length).number(destination);
+}
+
+// Reads the name behind it as well: only with its length is it known which form this is.
+void get_destination_and_name(ValueReader& in, Owed& m) {
+    m.destination = in.number<Narrow>();
+    auto behind = in;
+    if (m.destination == narrow_ones && behind.number<std::uint32_t>() == no_length) {
+        m.destination = behind.number<DestinationId>();
+        in = behind;
+    }
+    m.name = in.text();
+}
+
+}  // namespace
+
 std::string MessageCodec::value(const Owed& m) {
     ValueWriter out;
-    out.number(m.due_wall)
-        .number(m.message_class)
-        .number(m.tenant)
-        .number(m.destination)
-        .text(m.name)
-        .text(m.key)
-        .text(*m.body);
+    out.number(m.due_wall).number(m.message_class).number(m.tenant);
+    put_destination(out, m.destination);
+    out.text(m.name).text(m.key).text(*m.body);
     if (!m.mark.empty()) out.text(m.mark);
     return out.take();
 }
@@ -24,8 +50,7 @@
     m.due_wall = in.number<double>();
     m.message_class = in.number<std::uint16_t>();
     m.tenant = in.number<std::uint16_t>();
-    m.destination = in.number<std::uint16_t>();
-    m.name = in.text();
+    get_destination_and_name(in, m);
     m.key = in.text();
     m.body = std::make_shared<const std::string>(in.text());
     if (!in.good()) return std::nullopt;
--- a/src/dispatch/records.hpp
+++ b/src/dispatch/records.hpp
@@ -23,7 +23,8 @@
 struct Owed : Standing {
     MessageId id = 0;
     std::string name, key;
-    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+    std::uint16_t message_class = 0, tenant = 0;
+    DestinationId destination = 0;
     double due_wall = 0;  // deadlines outlive the process, so they are kept by the wall clock
     std::shared_ptr<const std::string> body;
     bool cut = false;  // its latest attempt was out when an earlier life ended
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -44,7 +44,8 @@
 
 struct Submission {
     std::string name, key;  // the client's id and idempotency key, passed on unchanged
-    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+    std::uint16_t message_class = 0, tenant = 0;
+    DestinationId destination = 0;
     Time due = 0;
     std::shared_ptr<const std::string> body;
     bool again = false;  // the client says that it was refused before
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -51,19 +51,21 @@
     return text.back() == 'u' ? std::min(value / 1000, most_deadline_ms) : -1;
 }
 
-int read_destination(const std::string& text) {
+// Nothing where there is none, or one beyond all numbers: it is no other's.
+std::optional<DestinationId> read_destination(const std::string& text) {
     std::string_view rest = text;
     while (!rest.empty()) {
         const auto comma = rest.find_first_of(",;");
         const auto part = http::trimmed(rest.substr(0, comma));
         rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
         if (!part.starts_with("dest=")) continue;
-        int value = -1;
+        DestinationId value = 0;
         const auto digits = part.substr(5);
         const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-        return error == std::errc{} && end == digits.data() + digits.size() && value <= 65535 ? value : -1;
+        return error == std::errc{} && end == digits.data() + digits.size() ? std::optional(value)
+                                                                            : std::nullopt;
     }
-    return -1;
+    return std::nullopt;
 }
 
 // As it came; two parents are none, and several lines of state are one.
@@ -107,8 +109,8 @@
     const int tenant = owner == nullptr ? -1 : config::place_of(config.tenants, *owner);
     if (!config.tenants.empty() && tenant < 0) return 400;
     const double span = read_span(*deadline);
-    const int destination = read_destination(*addressing);
-    if (span < 0 || destination < 0 || (key != nullptr && !is_name(*key))) return 400;
+    const auto destination = read_destination(*addressing);
+    if (span < 0 || !destination || (key != nullptr && !is_name(*key))) return 400;
     const auto place = static_cast<std::size_t>(message_class);
     if (config.settings.classes[place].repeat == Repeat::token && key == nullptr) return 400;
     dispatch::Submission s;
@@ -116,7 +118,7 @@
     if (key != nullptr) s.key = *key;
     s.message_class = static_cast<std::uint16_t>(message_class);
     s.tenant = static_cast<std::uint16_t>(std::max(0, tenant));
-    s.destination = static_cast<std::uint16_t>(destination);
+    s.destination = *destination;
     s.due = now + span;
     s.again = h.count("Req-Retry") > 0;
     s.came = now;
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -4,11 +4,13 @@
 #include <string>
 #include <vector>
 
+#include "brasslift/sender.hpp"
+
 namespace brasslift::lab {
 
 struct SiteHost {
     std::string uid, address;
-    int destination = 1;
+    DestinationId destination = 1;
     std::string state = "Ready";
 };
 
--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -4,9 +4,11 @@
 namespace brasslift::lang {
 namespace {
 
+using Numbers = std::pair<std::uint64_t, std::uint64_t>;  // of destinations, from..to
+
 // The destinations of a set as sorted ranges that do not touch.
-std::vector<std::pair<int, int>> joined(const std::vector<plan::Span>& spans) {
-    std::vector<std::pair<int, int>> all, out;
+std::vector<Numbers> joined(const std::vector<plan::Span>& spans) {
+    std::vector<Numbers> all, out;
     for (const auto& s : spans) all.emplace_back(s.from, s.to);
     std::sort(all.begin(), all.end());
     for (const auto& [from, to] : all) {
@@ -60,8 +62,8 @@
                   "destination " + std::to_string(d.number()) + " is declared twice; the first is at " +
                       to_text(places_.of(*it->second, "number")),
                   "keep one of them");
-        if (!d.name().empty()) names_.emplace(d.name(), static_cast<std::uint16_t>(d.number()));
-        for (const auto& label : d.label()) labels_[label].push_back(static_cast<std::uint16_t>(d.number()));
+        if (!d.name().empty()) names_.emplace(d.name(), d.number());
+        for (const auto& label : d.label()) labels_[label].push_back(d.number());
     }
 }
 
@@ -79,7 +81,8 @@
         switch (d->kind) {
             case Kind::number: found.push_back({d->from, d->to, plan::exact_number}); break;
             case Kind::range:
-                found.push_back({d->from, d->to, plan::exactness_of_range(1U + d->to - d->from)});
+                found.push_back(
+                    {d->from, d->to, plan::exactness_of_range(std::uint64_t{1} + d->to - d->from)});
                 break;
             case Kind::prefix: {
                 const auto before = found.size();
@@ -244,7 +247,7 @@
     auto& whole = joined_[pool];
     if (whole.empty()) whole = joined(pool_members_[static_cast<std::size_t>(pool)]);
     for (const auto& [from, to] : joined(match.destinations)) {
-        auto after = std::upper_bound(whole.begin(), whole.end(), std::pair(from, 1 << 20));
+        auto after = std::upper_bound(whole.begin(), whole.end(), Numbers(from, plan::all_destinations));
         if (after != whole.begin() && std::prev(after)->second >= to) continue;
         const auto set = from == to ? std::to_string(from) : std::to_string(from) + '-' + std::to_string(to);
         error(places_.of(r, "pool"),
--- a/src/lang/compiler.hpp
+++ b/src/lang/compiler.hpp
@@ -133,10 +133,10 @@
     const Platform* platform_;
     Findings& findings_;
     plan::Rules rules_;
-    std::map<std::string, std::uint16_t> names_;
-    std::map<std::string, std::vector<std::uint16_t>> labels_;
+    std::map<std::string, DestinationId> names_;
+    std::map<std::string, std::vector<DestinationId>> labels_;
     std::vector<std::vector<plan::Span>> pool_members_;
-    std::map<int, std::vector<std::pair<int, int>>> joined_;
+    std::map<int, std::vector<std::pair<std::uint64_t, std::uint64_t>>> joined_;
     std::map<std::string, std::map<std::string, int>> refers_;
     std::vector<std::string> class_names_;
 };
--- a/src/lang/explain.cpp
+++ b/src/lang/explain.cpp
@@ -44,7 +44,7 @@
         };
         const plan::Plan plan(rules_, names_);
         const plan::Subject subject{at(names_.classes, q_.message_class), at(names_.tenants, q_.tenant),
-                                    static_cast<std::uint16_t>(q_.destination)};
+                                    q_.destination};
         const int route = plan.route(subject);
         routes(route);
         std::vector<int> found;
--- a/src/lang/list_file.cpp
+++ b/src/lang/list_file.cpp
@@ -92,7 +92,12 @@
                 return error(word, "the rules name no destination " + shown(d.name), "write its number");
             from = to = named->second;
         }
-        for (unsigned number = from; number <= to; ++number) add(word, std::to_string(number), 0);
+        // Each number is an entry of its own.
+        constexpr DestinationId widest = 65536;
+        if (to - from >= widest)
+            return error(word, shown(word.text) + " is more than " + std::to_string(widest) + " destinations",
+                         "write narrower ranges");
+        for (std::uint64_t number = from; number <= to; ++number) add(word, std::to_string(number), 0);
     }
     void tenant(const Word& word, std::uint64_t value) {
         if (!is_name(word.text)) return error(word, shown(word.text) + " is no tenant's name", "correct it");
@@ -124,7 +129,7 @@
 DestinationNames destination_names(const Document& document) {
     DestinationNames names;
     for (const auto& d : document.config.destination())
-        if (!d.name().empty()) names.emplace(d.name(), static_cast<std::uint16_t>(d.number()));
+        if (!d.name().empty()) names.emplace(d.name(), d.number());
     return names;
 }
 
--- a/src/lang/list_file.hpp
+++ b/src/lang/list_file.hpp
@@ -15,7 +15,7 @@
 using ListEntries = std::map<std::string, std::uint64_t>;
 
 // Names of destinations, as a document declares them.
-using DestinationNames = std::map<std::string, std::uint16_t>;
+using DestinationNames = std::map<std::string, DestinationId>;
 DestinationNames destination_names(const Document& document);
 
 // Reads a file; faults are told with their line and column. `platform`: nullptr where its names are not
--- a/src/lang/meaning.hpp
+++ b/src/lang/meaning.hpp
@@ -39,7 +39,7 @@
 // Which rules hold for a message and why not the others.
 struct Question {
     std::string tenant, message_class;
-    int destination = 0;
+    DestinationId destination = 0;
 };
 std::string explain(const Document& document, const plan::Rules& rules, const plan::Names& names,
                     const Question& question, bool all);
--- a/src/lang/units.cpp
+++ b/src/lang/units.cpp
@@ -53,8 +53,8 @@
 }
 
 // A destination's number; nothing where it is none or too large.
-std::optional<std::uint16_t> read_number(std::string_view text) {
-    std::uint16_t value = 0;
+std::optional<DestinationId> read_number(std::string_view text) {
+    DestinationId value = 0;
     const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
     return fault == std::errc{} && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
 }
@@ -135,12 +135,12 @@
     const auto dash = text.find('-');
     if (dash == std::string_view::npos) {
         if (const auto number = read_number(text)) return DestinationText{Kind::number, *number, *number, {}};
-        return Misread{shown(text) + " is beyond the last destination", "write a number up to 65535"};
+        return Misread{shown(text) + " is beyond the last destination", "write a number up to 4294967295"};
     }
     const auto from = read_number(text.substr(0, dash)), to = read_number(text.substr(dash + 1));
     if (!from || !to)
         return Misread{shown(text) + " is no range of destinations",
-                       "write two numbers up to 65535, like \"10-19\""};
+                       "write two numbers up to 4294967295, like \"10-19\""};
     if (*from > *to)
         return Misread{shown(text) + " is a range that ends before it begins",
                        "write \"" + std::to_string(*to) + '-' + std::to_string(*from) + '"'};
--- a/src/lang/units.hpp
+++ b/src/lang/units.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <variant>
 
+#include "brasslift/sender.hpp"
+
 namespace brasslift::lang {
 
 enum class Unit { duration, size, rate, share };
@@ -26,7 +28,7 @@
 // A destination as it is written: numbers from..to, a name, or the beginning of one.
 struct DestinationText {
     enum class Kind { number, range, name, prefix } kind = Kind::number;
-    std::uint16_t from = 0, to = 0;
+    DestinationId from = 0, to = 0;
     std::string name;  // without the '*'
 };
 std::variant<DestinationText, Misread> read_destination(std::string_view text);
--- a/src/plan/gate.cpp
+++ b/src/plan/gate.cpp
@@ -53,7 +53,7 @@
     return total_ < plan_->rules().bounds.limiter_keys;
 }
 
-Count* Gate::count_of(Time now, int limit, std::uint64_t key) {
+Count* Gate::count_of(Time now, int limit, const CountKey& key) {
     const auto place = static_cast<std::size_t>(limit);
     if (const auto found = counts_[place].find(key); found != counts_[place].end()) return &found->second;
     if (!make_room(now)) return nullptr;
@@ -272,12 +272,12 @@
         for (auto& [key, count] : counts[static_cast<std::size_t>(was)]) {
             auto own = key;
             if (by_route) {
-                const int route = static_cast<int>(key >> 48) - 1;
+                const int route = int{key.route} - 1;
                 const int now_at =
                     route == none ? none
                                   : new_route(before->rules().routes[static_cast<std::size_t>(route)].name);
                 if (route != none && now_at == none) continue;  // the route is no more
-                own = (key & 0xffff'ffff'ffffU) | static_cast<std::uint64_t>(now_at + 1) << 48;
+                own.route = static_cast<std::uint16_t>(now_at + 1);
             }
             count.forget_held();
             count.reshape(own_part(i), rules.bounds.bookings, now, lane_of);
--- a/src/plan/gate.hpp
+++ b/src/plan/gate.hpp
@@ -74,10 +74,10 @@
     std::uint64_t held(const std::string& limit) const;
 
 private:
-    using Counts = std::unordered_map<std::uint64_t, Count>;
+    using Counts = std::unordered_map<CountKey, Count, CountKeyHash>;
     struct Charge {
         int limit = none;
-        std::uint64_t key = 0;
+        CountKey key;
         std::uint32_t lane = 0;
     };
     struct Charged {
@@ -89,7 +89,7 @@
         double left = 0;
         Time at = 0;
     };
-    Count* count_of(Time now, int limit, std::uint64_t key);
+    Count* count_of(Time now, int limit, const CountKey& key);
     bool make_room(Time now);
     Budget& refilled(Time now, int policy);
     bool spent_by(const std::vector<int>& policies, int made) const;
--- a/src/plan/index.cpp
+++ b/src/plan/index.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
 #include <map>
 
 namespace brasslift::plan {
 namespace {
 
-constexpr int destination_bits = 16;
+constexpr int destination_bits = std::numeric_limits<DestinationId>::digits;
 constexpr std::uint64_t most_pattern = 64;
 
 // How a name was said: nothing, a beginning (the longer the more exact), the whole.
@@ -40,19 +41,39 @@
 
 // A range as the fewest aligned blocks.
 void add_blocks(const Span& span, std::vector<Block>& into) {
-    std::uint32_t from = span.from;
-    const std::uint32_t end = std::uint32_t{span.to} + 1;
+    std::uint64_t from = span.from;
+    const std::uint64_t end = std::uint64_t{span.to} + 1;
     while (from < end) {
-        const std::uint32_t aligned = from == 0 ? 1U << destination_bits : from & (~from + 1);
-        const std::uint32_t size = std::min(aligned, std::bit_floor(end - from));
-        into.push_back({destination_bits - std::countr_zero(size), from, span.exactness});
+        const std::uint64_t aligned = from == 0 ? all_destinations : from & (~from + 1);
+        const std::uint64_t size = std::min(aligned, std::bit_floor(end - from));
+        into.push_back(
+            {destination_bits - std::countr_zero(size), static_cast<DestinationId>(from), span.exactness});
         from += size;
     }
 }
 
-std::uint64_t pack(int bits, std::uint32_t from, std::uint32_t tenant, std::uint32_t message_class) {
-    return (std::uint64_t(bits) << 50) | (std::uint64_t{from} << 34) | (std::uint64_t{tenant} << 17) |
-           message_class;
+// A key: 33 bits of destination, 17 of tenant and 14 of class, both plus one. A destination's prefix is its
+// first bits behind a 1, so that it says its length as well. No tenant has all of its bits set, so that no
+// key is the empty one.
+constexpr int tenant_bits = 17, class_bits = 14;
+constexpr std::uint64_t mask_of(int bits) { return (std::uint64_t{1} << bits) - 1; }
+
+std::uint64_t pack(int bits, DestinationId destination, std::uint32_t tenant, std::uint32_t message_class) {
+    const auto prefix = std::uint64_t{1} << bits | std::uint64_t{destination} >> (destination_bits - bits);
+    return prefix << (tenant_bits + class_bits) | std::uint64_t{tenant} << class_bits | message_class;
+}
+
+struct Unpacked {
+    int bits = 0;
+    DestinationId from = 0;
+    std::uint32_t tenant = 0, message_class = 0;
+};
+Unpacked unpack(std::uint64_t key) {
+    const auto prefix = key >> (tenant_bits + class_bits);
+    const int bits = std::bit_width(prefix) - 1;
+    return {bits, static_cast<DestinationId>(prefix << (destination_bits - bits)),
+            static_cast<std::uint32_t>(key >> class_bits & mask_of(tenant_bits)),
+            static_cast<std::uint32_t>(key & mask_of(class_bits))};
 }
 
 std::uint64_t mixed(std::uint64_t key) {
@@ -64,6 +85,8 @@
 }  // namespace
 
 Index::Index(const std::vector<Rule>& rules, const Names& names) : rules_(rules.size()) {
+    if (names.classes.size() > most_classes)
+        throw std::length_error("more than " + std::to_string(most_classes) + " classes");
     // Patterns that stand alone are the common case in large files, so names are found by a table for them.
     std::map<std::string, std::uint32_t> tenants;
     for (std::uint32_t i = 0; i < names.tenants.size(); ++i) tenants.emplace(names.tenants[i], i + 1);
@@ -95,7 +118,7 @@
                 for (const auto& cls : class_choices)
                     entries_.push_back(
                         {pack(block.bits, block.from, tenant.id_plus_one, cls.id_plus_one),
-                         priority << 34 | block.exactness << 14 | tenant.exactness << 7 | cls.exactness, r});
+                         priority << 49 | block.exactness << 14 | tenant.exactness << 7 | cls.exactness, r});
     }
     std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) {
         return std::tuple(a.key, b.order, a.rule) < std::tuple(b.key, a.order, b.rule);
@@ -117,7 +140,8 @@
         auto at = mixed(key) & (slots_.size() - 1);
         while (slots_[at].key != empty) at = (at + 1) & (slots_.size() - 1);
         slots_[at] = {key, first, i - first};
-        shapes_.push_back({static_cast<int>(key >> 50), (key >> 17 & 0x1ffff) != 0, (key & 0x1ffff) != 0});
+        const auto cell = unpack(key);
+        shapes_.push_back({cell.bits, cell.tenant != 0, cell.message_class != 0});
     }
     std::sort(shapes_.begin(), shapes_.end());
     shapes_.erase(std::unique(shapes_.begin(), shapes_.end()), shapes_.end());
@@ -125,8 +149,7 @@
 }
 
 std::uint64_t Index::key_of(const Shape& shape, const Subject& s) {
-    const std::uint32_t mask = shape.bits == 0 ? 0 : 0xffffU & (0xffffU << (destination_bits - shape.bits));
-    return pack(shape.bits, s.destination & mask, shape.tenant ? s.tenant + 1U : 0,
+    return pack(shape.bits, s.destination, shape.tenant ? s.tenant + 1U : 0,
                 shape.message_class ? s.message_class + 1U : 0);
 }
 
@@ -168,10 +191,7 @@
     for (const auto& entry : entries_) {
         auto& own = standing[entry.rule];
         own.seen = true;
-        const int bits = static_cast<int>(entry.key >> 50);
-        const auto tenant = static_cast<std::uint32_t>(entry.key >> 17 & 0x1ffff),
-                   cls = static_cast<std::uint32_t>(entry.key & 0x1ffff);
-        const auto from = static_cast<std::uint16_t>(entry.key >> 34 & 0xffff);
+        const auto [bits, from, tenant, cls] = unpack(entry.key);
         int over = none;
         // Whatever covers the whole cell has a key of a shape that is as open or more so.
         for (const auto& shape : shapes_) {
--- a/src/plan/index.hpp
+++ b/src/plan/index.hpp
@@ -1,6 +1,6 @@
 // Finds the rules that match a message at a cost that does not grow with their number (tuple space search):
 // every rule becomes cells of destination prefix, tenant and class, any of them open; a look-up asks the
-// table once for each shape that some cell has, and there are at most 68 shapes.
+// table once for each shape that some cell has, and there are at most 132 shapes.
 #pragma once
 
 #include <array>
@@ -24,9 +24,11 @@
         int priority = 0;
     };
     static constexpr std::size_t most_cells = 4'000'000;
+    static constexpr std::size_t most_classes = 16382;  // keys tell so many apart
 
     Index() = default;
-    // Throws TooManyCells, naming the rule by its place, where rules match too many combinations.
+    // Throws TooManyCells, naming the rule by its place, where rules match too many combinations;
+    // std::length_error where there are more than most_classes.
     Index(const std::vector<Rule>& rules, const Names& names);
 
     // The rule that holds of those that match, none if there is none.
--- a/src/plan/lists.cpp
+++ b/src/plan/lists.cpp
@@ -1,7 +1,7 @@
 #include "plan/lists.hpp"
 
 #include <algorithm>
-#include <cstdlib>
+#include <charconv>
 #include <utility>
 
 namespace brasslift::plan {
@@ -37,7 +37,10 @@
         for (const auto& [key, value] : found->second.entries) {
             const Bar bar{&rule.name, rule.pause_ms};
             if (rule.kind == ListKind::destinations_shut) {
-                shut_.emplace(static_cast<std::uint16_t>(std::strtoul(key.c_str(), nullptr, 10)), bar);
+                DestinationId number = 0;
+                const auto* const last = key.data() + key.size();
+                const auto [end, bad] = std::from_chars(key.data(), last, number);
+                if (bad == std::errc{} && end == last) shut_.emplace(number, bar);
                 continue;
             }
             const auto tenant = tenants.find(key);
--- a/src/plan/lists.hpp
+++ b/src/plan/lists.hpp
@@ -58,7 +58,7 @@
         Lane lane;
     };
     std::map<std::string, Contents> contents_;
-    std::unordered_map<std::uint16_t, Bar> shut_;    // by destination
+    std::unordered_map<DestinationId, Bar> shut_;    // by destination
     std::unordered_map<std::uint16_t, Bar> barred_;  // by tenant, as caps
     std::unordered_map<std::uint16_t, Cap> caps_;
 };
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -80,15 +80,14 @@
     return owners.size();
 }
 
-std::uint64_t Plan::key(int limit, const Subject& s, int route) const {
-    std::uint64_t key = 0;
+CountKey Plan::key(int limit, const Subject& s, int route) const {
+    CountKey key;
     for (const auto dimension : rules_.limits[static_cast<std::size_t>(limit)].by) {
-        // 16 bits each: routes beyond that would share counts, and the checker admits no more.
         switch (dimension) {
-            case Dimension::tenant: key |= std::uint64_t{s.tenant}; break;
-            case Dimension::message_class: key |= std::uint64_t{s.message_class} << 16; break;
-            case Dimension::destination: key |= std::uint64_t{s.destination} << 32; break;
-            case Dimension::route: key |= (static_cast<std::uint64_t>(route + 1) & 0xffff) << 48; break;
+            case Dimension::tenant: key.tenant = s.tenant; break;
+            case Dimension::message_class: key.message_class = s.message_class; break;
+            case Dimension::destination: key.destination = s.destination; break;
+            case Dimension::route: key.route = static_cast<std::uint16_t>(route + 1); break;
         }
     }
     return key;
--- a/src/plan/plan.hpp
+++ b/src/plan/plan.hpp
@@ -9,6 +9,23 @@
 
 namespace brasslift::plan {
 
+// The values that a limit counts by; those that it does not are 0. Equal keys share a count.
+struct CountKey {
+    DestinationId destination = 0;
+    std::uint16_t tenant = 0, message_class = 0;
+    std::uint16_t route = 0;  // its place plus one: the checker admits no more than that tells apart
+    bool operator==(const CountKey&) const = default;
+};
+struct CountKeyHash {
+    std::size_t operator()(const CountKey& key) const {
+        auto hash = (std::uint64_t{key.route} << 48 | std::uint64_t{key.message_class} << 32 |
+                     std::uint64_t{key.tenant} << 16) *
+                    0x9e3779b97f4a7c15U;
+        hash = (hash ^ hash >> 32 ^ key.destination) * 0x9e3779b97f4a7c15U;
+        return hash ^ hash >> 29;
+    }
+};
+
 class Plan {
 public:
     // Throws TooManyCells, its text the name of the entry.
@@ -27,8 +44,7 @@
 
     // The lane of a message in a limit's count: that of its guarantee, else the last.
     std::size_t lane(int limit, const Subject& subject, int route) const;
-    // The values of the limit's `by`; equal keys share a count.
-    std::uint64_t key(int limit, const Subject& subject, int route) const;
+    CountKey key(int limit, const Subject& subject, int route) const;
 
 private:
     struct Owner {  // of a guarantee: a place in the names or routes
--- a/src/plan/rules.hpp
+++ b/src/plan/rules.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "brasslift/sender.hpp"
+
 namespace brasslift::plan {
 
 constexpr int none = -1;
@@ -19,15 +21,16 @@
 
 // Destinations from..to. `exactness` orders them by how they were said: greater is more exact.
 struct Span {
-    std::uint16_t from = 0, to = 0;
-    std::uint32_t exactness = 0;
+    DestinationId from = 0, to = 0;
+    std::uint64_t exactness = 0;
 };
 // Numbers and whole names before ranges, narrower ranges first, before beginnings of names, longer first.
-constexpr std::uint32_t exact_number = 1U << 19;
-constexpr std::uint32_t exactness_of_range(std::uint32_t width) { return (1U << 18) | (65536U - width); }
-constexpr std::uint32_t exactness_of_prefix(std::size_t length) {
-    return static_cast<std::uint32_t>(1 + length);
+constexpr std::uint64_t all_destinations = std::uint64_t{1} << 32;  // how many there can be
+constexpr std::uint64_t exact_number = all_destinations << 2;
+constexpr std::uint64_t exactness_of_range(std::uint64_t width) {
+    return all_destinations << 1 | (all_destinations - width);
 }
+constexpr std::uint64_t exactness_of_prefix(std::size_t length) { return 1 + length; }
 
 // An empty list matches everything.
 struct Match {
@@ -165,7 +168,8 @@
 };
 
 struct Subject {
-    std::uint16_t message_class = 0, tenant = 0, destination = 0;
+    std::uint16_t message_class = 0, tenant = 0;
+    DestinationId destination = 0;
 };
 
 }  // namespace brasslift::plan
--- a/src/serve/list_share.cpp
+++ b/src/serve/list_share.cpp
@@ -53,7 +53,7 @@
     const auto place = [](const std::vector<std::string>& names, const std::string& name) {
         return static_cast<std::size_t>(std::max(0, config::place_of(names, name)));
     };
-    line.listing.destination = static_cast<std::uint16_t>(host.group());
+    line.listing.destination = host.group();
     line.listing.zone = static_cast<std::uint16_t>(place(config_.zones, host.zone()));
     line.listing.kind = static_cast<std::uint8_t>(place(config_.kinds, host.kind()));
     line.listing.weight = host.capacity();
--- a/src/telemetry/meters.cpp
+++ b/src/telemetry/meters.cpp
@@ -11,7 +11,13 @@
 constexpr std::string_view class_key = "brasslift.class", tenant_key = "brasslift.tenant",
                            destination_key = "messaging.destination.name";
 
-std::uint64_t packed(std::uint64_t a, std::uint64_t b, std::uint64_t c = 0) { return a << 40 | b << 20 | c; }
+// Numbers of series: of a class and something of less than 2^48, and of three, the last from a short list.
+std::uint64_t packed(std::uint16_t message_class, std::uint64_t other) {
+    return std::uint64_t{message_class} << 48 | other;
+}
+std::uint64_t packed(std::uint16_t message_class, DestinationId destination, std::uint64_t outcome) {
+    return std::uint64_t{message_class} << 48 | std::uint64_t{destination} << 16 | outcome;
+}
 
 }  // namespace
 
@@ -73,29 +79,29 @@
     histogram("brasslift.event_loop.lag", "By which a timer came late");
 }
 
-std::uint64_t Meters::number_of(std::string_view text) {
-    if (const auto found = numbers_.find(text); found != numbers_.end()) return found->second;
-    return numbers_.emplace(std::string(text), numbers_.size() + 1).first->second;
+std::uint64_t Meters::number_of(Numbers& numbers, std::string_view text) {
+    if (const auto found = numbers.find(text); found != numbers.end()) return found->second;
+    return numbers.emplace(std::string(text), numbers.size() + 1).first->second;
 }
 
 void Meters::taken(std::uint16_t message_class, std::uint16_t tenant) {
-    ++counters_[taken_at].at(packed(0, message_class, tenant), [&] {
+    ++counters_[taken_at].at(packed(message_class, tenant), [&] {
         return SeriesKey{{std::string(class_key), labels_.class_of(message_class)},
                          {std::string(tenant_key), labels_.tenant_of(tenant)}};
     });
 }
 
 void Meters::refused(std::uint16_t message_class, std::string_view why) {
-    ++counters_[refused_at].at(packed(0, message_class, number_of(why)), [&] {
+    ++counters_[refused_at].at(packed(message_class, number_of(reasons_, why)), [&] {
         return SeriesKey{{std::string(class_key), labels_.class_of(message_class)},
                          {"brasslift.reason", std::string(why)}};
     });
 }
 
-void Meters::ended(std::uint16_t message_class, std::uint16_t destination, std::string_view outcome,
+void Meters::ended(std::uint16_t message_class, DestinationId destination, std::string_view outcome,
                    double ms) {
-    const auto outcome_number = number_of(outcome);
-    ++counters_[ended_at].at(packed(0, message_class, outcome_number), [&] {
+    const auto outcome_number = number_of(outcomes_, outcome);
+    ++counters_[ended_at].at(packed(message_class, outcome_number), [&] {
         return SeriesKey{{std::string(class_key), labels_.class_of(message_class)},
                          {"brasslift.outcome", std::string(outcome)}};
     });
@@ -112,7 +118,7 @@
 void Meters::attempt(std::uint64_t endpoint, std::string_view address, std::string_view result, double ms) {
     auto& histogram = histograms_[attempt_at];
     histogram
-        .at(endpoint << 6 | number_of(result),
+        .at(endpoint << 16 | number_of(outcomes_, result),
             [&] {
                 return SeriesKey{{"brasslift.result", std::string(result)},
                                  {"server.address", std::string(address)}};
@@ -120,19 +126,19 @@
         .record(ms / 1000);
 }
 
-void Meters::retried(std::uint16_t destination) {
+void Meters::retried(DestinationId destination) {
     ++counters_[retried_at].at(destination, [&] {
         return SeriesKey{{std::string(destination_key), std::to_string(destination)}};
     });
 }
 
-void Meters::told_wait(std::uint16_t destination, double ms) {
+void Meters::told_wait(DestinationId destination, double ms) {
     const auto key = [&] { return SeriesKey{{std::string(destination_key), std::to_string(destination)}}; };
     ++counters_[waits_at].at(destination, key);
     histograms_[wait_at].at(destination, key).record(ms / 1000);
 }
 
-void Meters::queued(std::uint16_t destination, double ms) {
+void Meters::queued(DestinationId destination, double ms) {
     histograms_[queue_at]
         .at(destination,
             [&] {
@@ -156,7 +162,7 @@
 
 void Meters::level(std::string_view gauge, double value) { levels_[gauge] = value; }
 
-void Meters::windows(const std::map<std::uint16_t, double>& by_destination) { windows_ = by_destination; }
+void Meters::windows(const std::map<DestinationId, double>& by_destination) { windows_ = by_destination; }
 
 Meters::Collected Meters::collect(std::uint64_t now) {
     Collected collected;
--- a/src/telemetry/meters.hpp
+++ b/src/telemetry/meters.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "brasslift/sender.hpp"
 #include "telemetry/encode.hpp"
 #include "telemetry/metrics.hpp"
 
@@ -44,16 +45,16 @@
     // Times in milliseconds; they are told in seconds.
     void taken(std::uint16_t message_class, std::uint16_t tenant);
     void refused(std::uint16_t message_class, std::string_view why);
-    void ended(std::uint16_t message_class, std::uint16_t destination, std::string_view outcome, double ms);
+    void ended(std::uint16_t message_class, DestinationId destination, std::string_view outcome, double ms);
     void attempt(std::uint64_t endpoint, std::string_view address, std::string_view result, double ms);
-    void retried(std::uint16_t destination);
-    void told_wait(std::uint16_t destination, double ms);
-    void queued(std::uint16_t destination, double ms);
+    void retried(DestinationId destination);
+    void told_wait(DestinationId destination, double ms);
+    void queued(DestinationId destination, double ms);
     void lag(double ms);
     void exported(Signal signal, Exported fate, std::uint64_t items);
     // Last values.
     void level(std::string_view gauge, double value);
-    void windows(const std::map<std::uint16_t, double>& by_destination);
+    void windows(const std::map<DestinationId, double>& by_destination);
 
     // All series as metrics in a request; `now` in nanoseconds. Delta series begin anew.
     struct Collected {
@@ -88,7 +89,8 @@
     using Counter = Instrument<std::uint64_t>;
     using Histogram = Instrument<ExponentialHistogram>;
     void build();
-    std::uint64_t number_of(std::string_view text);
+    using Numbers = std::map<std::string, std::uint64_t, std::less<>>;
+    static std::uint64_t number_of(Numbers& numbers, std::string_view text);
 
     Labels labels_;
     Settings settings_;
@@ -96,8 +98,9 @@
     std::vector<Counter> counters_;
     std::vector<Histogram> histograms_;
     std::map<std::string_view, double> levels_;
-    std::map<std::uint16_t, double> windows_;
-    std::map<std::string, std::uint64_t, std::less<>> numbers_;
+    std::map<DestinationId, double> windows_;
+    Numbers reasons_;   // rules' names among them
+    Numbers outcomes_;  // a short list, of results too
 };
 
 }  // namespace brasslift::telemetry
--- a/src/telemetry/recorder.cpp
+++ b/src/telemetry/recorder.cpp
@@ -211,7 +211,7 @@
 }
 
 void Recorder::describe(Span& span, std::string_view name, std::uint16_t message_class, std::uint16_t tenant,
-                        std::uint16_t destination, std::size_t bytes) const {
+                        DestinationId destination, std::size_t bytes) const {
     span.attributes.reserve(12);
     span.attributes.push_back({"messaging.system", std::string("brasslift")});
     span.attributes.push_back({"messaging.message.id", text(name)});
@@ -367,7 +367,7 @@
     later([this, now, id = m.id, destination = m.destination, v] { note_landed(now, id, destination, v); });
 }
 
-void Recorder::note_landed(Time now, MessageId id, std::uint16_t destination, const dispatch::Verdict& v) {
+void Recorder::note_landed(Time now, MessageId id, DestinationId destination, const dispatch::Verdict& v) {
     const auto found = lives_.find(id);
     const int attempt = v.attempt + 1;  // the core counts those made before
     if (found == lives_.end() || found->second.out != attempt) return;
--- a/src/telemetry/recorder.hpp
+++ b/src/telemetry/recorder.hpp
@@ -70,7 +70,8 @@
         bool chosen = false;   // its spans need not wait for its end
         bool kept = false;     // where it has ended
         bool ended = false, taken = false, parked = false, told = false;
-        std::uint16_t message_class = 0, destination = 0;
+        std::uint16_t message_class = 0;
+        DestinationId destination = 0;
         std::string state;
         double offset = 0;
         Time came = 0;
@@ -92,7 +93,8 @@
               attempts(m.attempts),
               may_have_run(m.may_have_run) {}
         std::string name;
-        std::uint16_t message_class, tenant, destination;
+        std::uint16_t message_class, tenant;
+        DestinationId destination;
         std::size_t bytes;
         int attempts;
         bool may_have_run;
@@ -100,7 +102,8 @@
     struct Stream {  // that was refused
         std::string name, rule;
         dispatch::Trace trace;
-        std::uint16_t message_class, tenant, destination;
+        std::uint16_t message_class, tenant;
+        DestinationId destination;
         std::size_t bytes;
         Time came;
         bool again;
@@ -124,7 +127,7 @@
     }
     void note_refused(Time now, const Stream& stream);
     void note_sent(Time now, MessageId id, const Facts& facts, const std::string& pool);
-    void note_landed(Time now, MessageId id, std::uint16_t destination, const dispatch::Verdict& verdict);
+    void note_landed(Time now, MessageId id, DestinationId destination, const dispatch::Verdict& verdict);
     void note_ended(Time now, MessageId id, const Facts& facts, dispatch::Ending ending, double again_ms);
     void note_abandoned(Time now, MessageId id, dispatch::Refusal why);
     void link(Life& life, std::size_t by_key, std::size_t by_print, bool again, MessageId id);
@@ -136,7 +139,7 @@
     void forget_if_over(MessageId id);
     const std::string& address_of(const runtime::Address& address);
     void describe(Span& span, std::string_view name, std::uint16_t message_class, std::uint16_t tenant,
-                  std::uint16_t destination, std::size_t bytes) const;
+                  DestinationId destination, std::size_t bytes) const;
 
     Labels labels_;
     RecorderSettings settings_;
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -20,7 +20,7 @@
 struct HostState {
     EndpointId id;
     runtime::Address address;
-    std::uint16_t destination = 0;
+    DestinationId destination = 0;
     bool apart = false;  // waits bind this host alone, not its whole destination
     bool ready = false;
     bool gone = false;    // nothing reaches it any more: its address may be another host's by now
@@ -66,7 +66,7 @@
 };
 struct PoolState {
     std::vector<HostNote> hosts;
-    std::map<std::uint16_t, Time> waits;
+    std::map<DestinationId, Time> waits;
     std::vector<FlightState> flights;
     std::vector<IdleState> idle;
 };
@@ -145,7 +145,7 @@
     Report report_;
     std::map<EndpointId, HostPtr> hosts_;
     std::set<Flight*> flights_;            // under way
-    std::map<std::uint16_t, Time> waits_;  // of destinations whose hosts share one limit
+    std::map<DestinationId, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
     std::uint64_t written_ = 0;
     std::map<std::string, std::size_t> idle_of_;  // by pool of the operators
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -125,6 +125,17 @@
 
 TEST_F(Commands, ShowAndExplainNameTheirSources) {
     write("a", good + "limit { name: \"l\" rate: \"2/s\" }\n");
+    write("wide", good + "limit { name: \"l\" match { destination: \"70000\" } rate: \"2/s\" }\n");
+    EXPECT_NE(
+        run("config explain wide --tenant t --class c --dest 70000").out.find("limit \"l\" (wide:7:1): rate"),
+        std::string::npos);
+    EXPECT_EQ(
+        run("config explain wide --tenant t --class c --dest 4464").out.find("limit \"l\" (wide:7:1): rate"),
+        std::string::npos);
+    EXPECT_EQ(run("config explain wide --tenant t --class c --dest 4294967295").code, 0);
+    for (const char* const beyond : {"4294967296", "4295037296", "1-2", "momo*", "''"})
+        EXPECT_EQ(run(std::string("config explain wide --tenant t --class c --dest ") + beyond).code, 2)
+            << beyond;
     EXPECT_NE(run("config show a").out.find("pause: \"1s\"  # a:4:12"), std::string::npos)
         << run("config show a").out;
     const auto why = run("config explain a --tenant t --class c --dest 5");
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -521,6 +521,86 @@
               "");
 }
 
+// 4,464 is what 70,000 would be in 16 bits, and 65,535 what the last number would be.
+TEST(Dispatcher, DeliversToADestinationBeyondSixteenBits) {
+    EXPECT_EQ(play(R"(
+        destinations 70000 4464
+        start
+        c1 post safe m1 8000m 70000
+        c1 expect HTTP/1.1 202
+        h1 expect Req-Id: m1
+        h1 answer 200
+        g absent Req-Id: m1 200
+        c1 post safe m2 8000m 4464
+        c1 expect HTTP/1.1 202
+        g1 expect Req-Id: m2
+        g1 answer 200
+        h1 absent Req-Id: m2 200
+        replace
+        c2 post safe m3 8000m 70000
+        c2 expect HTTP/1.1 202
+        h expect Req-Id: m3
+        h answer 200
+        g1 absent Req-Id: m3 200
+    )"),
+              "");
+    EXPECT_EQ(play(R"(
+        destinations 4294967295 65535
+        start
+        c1 post safe m1 8000m 4294967295
+        c1 expect HTTP/1.1 202
+        h1 expect Req-Id: m1
+        h1 answer 200
+        g absent Req-Id: m1 200
+    )"),
+              "");
+}
+
+TEST(Dispatcher, OwesAMessageBeyondSixteenBitsAfterAKill) {
+    EXPECT_EQ(play(R"(
+        destinations 70000 4464
+        start
+        c1 post safe m1 9000m 70000
+        c1 expect HTTP/1.1 202
+        h1 expect Req-Id: m1
+        kill
+        start
+        h2 expect Req-Id: m1
+        h2 answer 200
+        g absent POST 300
+    )"),
+              "");
+}
+
+// A number beyond all destinations is a fault of the request, never another destination's message.
+TEST(Dispatcher, RefusesANumberThatNoDestinationCanHave) {
+    EXPECT_EQ(play(R"(
+        destinations 0 4464
+        start
+        c1 post safe m1 8000m 4294967296
+        c1 expect HTTP/1.1 400
+        c1 closed
+        c2 post safe m2 8000m 4294971760
+        c2 expect HTTP/1.1 400
+        c2 closed
+        c3 post safe m3 8000m 18446744073709551616
+        c3 expect HTTP/1.1 400
+        c3 closed
+        c4 post safe m4 8000m -1
+        c4 expect HTTP/1.1 400
+        c4 closed
+        c5 post safe m5 8000m 4464x
+        c5 expect HTTP/1.1 400
+        c5 closed
+        c6 post safe m6 8000m 0
+        c6 expect HTTP/1.1 202
+        h1 expect Req-Id: m6
+        h1 answer 200
+        g absent POST 200
+    )"),
+              "");
+}
+
 // An id that another client's message has, or had until a moment ago, starts no second one.
 TEST(Dispatcher, StartsNoSecondMessageUnderAnIdThatIsTaken) {
     EXPECT_EQ(play(R"(
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -199,6 +199,143 @@
     EXPECT_GT(calls, 40U);
 }
 
+// Messages as they were written, and read, when destinations were 16 bits wide.
+std::string narrow_record(const Owed& m) {
+    store::ValueWriter out;
+    out.number(m.due_wall)
+        .number(std::uint16_t{m.message_class})
+        .number(std::uint16_t{m.tenant})
+        .number(static_cast<std::uint16_t>(m.destination))
+        .text(m.name)
+        .text(m.key)
+        .text(*m.body);
+    if (!m.mark.empty()) out.text(m.mark);
+    return out.take();
+}
+std::optional<std::uint16_t> narrow_reading(std::string_view bytes) {
+    store::ValueReader in(bytes);
+    in.number<double>();
+    in.number<std::uint16_t>();
+    in.number<std::uint16_t>();
+    const auto destination = in.number<std::uint16_t>();
+    for (int text = 0; text < 3; ++text) in.text();
+    return in.good() ? std::optional(destination) : std::nullopt;
+}
+
+Owed message_to(DestinationId destination, const std::string& name, const std::string& mark = "") {
+    Owed m;
+    m.name = name;
+    m.key = "key-" + name;
+    m.message_class = 2;
+    m.tenant = 3;
+    m.destination = destination;
+    m.due_wall = now + 4000;
+    m.body = std::make_shared<const std::string>("body of " + name);
+    m.mark = mark;
+    return m;
+}
+
+constexpr DestinationId last_destination = 4294967295U;
+
+TEST(Records, KeepEveryDestinationWhole) {
+    for (const DestinationId d :
+         {0U, 9U, 65534U, 65535U, 65536U, 70000U, 131071U, last_destination - 1, last_destination})
+        for (const std::string name : {"", "m", "a-name-of-some-length"})
+            for (const std::string mark : {"", "a mark"}) {
+                const auto m = message_to(d, name, mark);
+                const auto bytes = MessageCodec::value(m);
+                const auto read = MessageCodec::value(std::string_view(bytes));
+                ASSERT_TRUE(read) << d;
+                EXPECT_EQ(read->destination, d);
+                EXPECT_EQ(read->due_wall, m.due_wall);
+                EXPECT_EQ(read->message_class, m.message_class);
+                EXPECT_EQ(read->tenant, m.tenant);
+                EXPECT_EQ(read->name, m.name);
+                EXPECT_EQ(read->key, m.key);
+                EXPECT_EQ(*read->body, *m.body);
+                EXPECT_EQ(read->mark, m.mark);
+                // One that is cut is not read, up to where the mark begins.
+                const auto most = bytes.size() - (mark.empty() ? 0 : mark.size() + 4);
+                for (std::size_t size = 0; size < most; ++size)
+                    ASSERT_FALSE(MessageCodec::value(std::string_view(bytes).substr(0, size)))
+                        << d << ' ' << size;
+                // A reader of 16 bits has the same number or none.
+                if (d <= 65535) {
+                    EXPECT_EQ(bytes, narrow_record(m));
+                    EXPECT_EQ(narrow_reading(bytes), d);
+                } else {
+                    EXPECT_EQ(narrow_reading(bytes), std::nullopt) << d;
+                }
+            }
+}
+
+TEST(Records, OfSixteenBitsAreRead) {
+    Disk disk;
+    {
+        Life life(disk);
+        ASSERT_TRUE(life.recovered);
+        store::Batch batch;
+        MessageId id = 0;
+        for (const DestinationId d : {0U, 9U, 4464U, 65535U})
+            batch.put(MessageCodec::id, MessageCodec::key(++id),
+                      narrow_record(message_to(d, std::to_string(d))), static_cast<store::Stamp>(now));
+        ASSERT_EQ(life.store->write(batch, store::Purpose::owed).fault, store::Fault::none);
+    }
+    Life life(disk);
+    ASSERT_TRUE(life.recovered);
+    EXPECT_EQ(life.ledger->held(), 4U);
+    for (const DestinationId d : {0U, 9U, 4464U, 65535U}) {
+        ASSERT_NE(life.named(std::to_string(d)), nullptr);
+        EXPECT_EQ(life.named(std::to_string(d))->destination, d);
+        EXPECT_EQ(*life.named(std::to_string(d))->body, "body of " + std::to_string(d));
+    }
+}
+
+TEST(Ledger, KnowsInItsNextLifeWhereToWithAllBits) {
+    Disk disk;
+    const DestinationId wide[] = {4464, 65535, 65536, 70000, last_destination};
+    {
+        Life life(disk);
+        ASSERT_TRUE(life.recovered);
+        for (const auto d : wide) {
+            auto m = message_to(d, std::to_string(d));
+            m.id = life.ledger->reserve_id();
+            auto* const owed = life.ledger->take(std::move(m), 77);
+            ASSERT_NE(owed, nullptr);
+            if (d == 70000) ASSERT_TRUE(life.ledger->attempt(*owed, now + 1, 3));
+        }
+    }
+    Life life(disk);
+    ASSERT_TRUE(life.recovered);
+    EXPECT_EQ(life.ledger->held(), std::size(wide));
+    for (const auto d : wide) {
+        ASSERT_NE(life.named(std::to_string(d)), nullptr);
+        EXPECT_EQ(life.named(std::to_string(d))->destination, d);
+    }
+    EXPECT_TRUE(life.named("70000")->may_have_run);
+}
+
+// A record that cannot be read is kept, so its number is no other message's.
+TEST(Ledger, GivesNoMessageTheNumberOfOneThatCannotBeRead) {
+    Disk disk;
+    {
+        Life life(disk);
+        ASSERT_TRUE(life.recovered);
+        life.take("first");
+        store::Batch batch;
+        batch.put(MessageCodec::id, MessageCodec::key(40), "of a later version",
+                  static_cast<store::Stamp>(now));
+        ASSERT_EQ(life.store->write(batch, store::Purpose::owed).fault, store::Fault::none);
+    }
+    Life life(disk);
+    ASSERT_TRUE(life.recovered);
+    EXPECT_EQ(life.ledger->held(), 1U);
+    EXPECT_EQ(life.take("second")->id, 41U);
+    std::string kept;
+    EXPECT_EQ(life.store->read(MessageCodec::id, MessageCodec::key(40), kept), store::Fault::none);
+    EXPECT_EQ(kept, "of a later version");
+}
+
 // Journals as the version before wrote them, by its description.
 class OldJournal {
 public:
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -2,7 +2,9 @@
 // they are.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
+#include <string>
 
 #include "opentelemetry/proto/collector/logs/v1/logs_service.pb.h"
 #include "opentelemetry/proto/collector/metrics/v1/metrics_service.pb.h"
@@ -282,6 +284,45 @@
     EXPECT_EQ(ended, 600);
 }
 
+// Classes, destinations, outcomes and reasons beyond any field's width before are series of their own.
+TEST(Meters, TellWideDestinationsApart) {
+    Meters meters({{"safe", "keyed"}, {"acme"}}, {50, Temporality::cumulative}, 1000);
+    for (int i = 0; i < 100; ++i) meters.refused(0, "rule " + std::to_string(i));
+    const DestinationId wide[] = {4464, 70000, 1U << 20, 4294967295U};
+    for (const auto d : wide)
+        for (const std::uint16_t cls : {0, 1})
+            for (const char* const outcome : {"delivered", "undeliverable"}) meters.ended(cls, d, outcome, 5);
+    for (const auto d : wide) meters.retried(d);
+    for (const std::uint64_t endpoint : {1, 2})
+        for (const char* const result : {"ok", "error"})
+            meters.attempt(endpoint, std::to_string(endpoint), result, 5);
+    meters.windows({{4464, 1}, {70000, 2}});
+    otlp::collector::metrics::v1::ExportMetricsServiceRequest request;
+    ASSERT_TRUE(request.ParseFromString(request_of(source, meters.collect(2000).items)));
+    std::map<std::string, std::set<std::string>> destinations;
+    std::map<std::string, int> points;
+    const auto note = [&](const std::string& name, const auto& all) {
+        for (const auto& p : all) {
+            ++points[name];
+            for (const auto& a : p.attributes())
+                if (a.key() == "messaging.destination.name")
+                    destinations[name].insert(a.value().string_value());
+        }
+    };
+    for (const auto& m : request.resource_metrics(0).scope_metrics(0).metrics()) {
+        note(m.name(), m.sum().data_points());
+        note(m.name(), m.gauge().data_points());
+        note(m.name(), m.exponential_histogram().data_points());
+    }
+    const std::set<std::string> all{"4464", "70000", "1048576", "4294967295"};
+    EXPECT_EQ(points["brasslift.message.duration"], 16);
+    EXPECT_EQ(destinations["brasslift.message.duration"], all);
+    EXPECT_EQ(points["brasslift.retries"], 4);
+    EXPECT_EQ(destinations["brasslift.retries"], all);
+    EXPECT_EQ(points["brasslift.attempt.duration"], 4);
+    EXPECT_EQ(destinations["brasslift.destination.window"], (std::set<std::string>{"4464", "70000"}));
+}
+
 TEST(Meters, TellDeltasOnceAndNeverBackwards) {
     Meters meters({{"safe"}, {"acme"}}, {10, Temporality::delta}, 5000);
     const auto points = [&](std::uint64_t now) {
