--- a/src/lang/compile.cpp
+++ b/src/lang/compile.cpp
@@ -272,6 +272,9 @@
     plan::Names names = names_in(rules_);
     if (const auto* const known = known_classes()) names.classes = *known;
     if (const auto* const known = known_tenants()) names.tenants = *known;
+    if (names.classes.size() > plan::Index::most_classes)
+        return error({}, "there are more than " + std::to_string(plan::Index::most_classes) + " classes",
+                     "name fewer");
     try {
         const plan::Plan plan(rules_, names);
         const auto found = plan.route_index().analyse();
--- a/tests/lang_test.cpp
+++ b/tests/lang_test.cpp
@@ -13,6 +13,7 @@
 #include "lang/meaning.hpp"
 #include "lang/tree.hpp"
 #include "lang/units.hpp"
+#include "plan/index.hpp"
 
 namespace brasslift::lang {
 namespace {
@@ -116,6 +117,37 @@
     EXPECT_EQ(result.findings.sorted().size(), 5u) << result.told();
 }
 
+// A number that a pool does not hold is none that it holds with other upper bits.
+TEST(Language, ComparesDestinationsWhole) {
+    const auto told = [](const std::string& pool, const std::string& route) {
+        Result result;
+        load_text("pool { name: \"p\" destination: \"" + pool +
+                      "\" }\nroute { name: \"r\" match { destination: \"" + route + "\" } pool: \"p\" }\n",
+                  result);
+        return result.told();
+    };
+    EXPECT_EQ(told("4294967200-4294967295", "4294967290-4294967295"), "");
+    EXPECT_EQ(told("0-4294967295", "70000"), "");
+    EXPECT_NE(told("0-65535", "70000").find("sends destination 70000 to pool"), std::string::npos);
+    EXPECT_NE(told("0-4294967294", "4294967295").find("sends destination 4294967295 to pool"),
+              std::string::npos);
+    EXPECT_NE(told("0-65535", "65530-65540").find("which does not hold all of it"), std::string::npos);
+}
+
+TEST(Language, SaysSoWhereThereAreMoreClassesThanItTellsApart) {
+    std::string classes;
+    for (std::size_t i = 0; i < plan::Index::most_classes; ++i)
+        classes += " class: \"c" + std::to_string(i) + '"';
+    const auto told = [](const std::string& classes) {
+        Result result;
+        load_text("route { name: \"r\" match {" + classes + " } refuse { pause: \"1s\" } }\n", result);
+        return result.told();
+    };
+    EXPECT_EQ(told(classes), "");
+    EXPECT_NE(told(classes + " class: \"more\"").find("there are more than 16382 classes"),
+              std::string::npos);
+}
+
 TEST(Includes, AreReadOnceHoweverTheyAreReached) {
     Shelf shelf;
     shelf.files["/shelf/main"] = "include: [\"a/one\", \"a/two\"]\ninclude: \"./a/../a/one\"\n";
