--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -302,7 +302,9 @@
             m.id = life.ledger->reserve_id();
             auto* const owed = life.ledger->take(std::move(m), 77);
             ASSERT_NE(owed, nullptr);
-            if (d == 70000) ASSERT_TRUE(life.ledger->attempt(*owed, now + 1, 3));
+            if (d == 70000) {
+                ASSERT_TRUE(life.ledger->attempt(*owed, now + 1, 3));
+            }
         }
     }
     Life life(disk);
