--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -4,12 +4,15 @@
 #include <string>
 #include <vector>
 
+#include "brasslift/sender.hpp"
+
 namespace brasslift::lab {
 
 struct SiteHost {
     std::string uid, address;
-    int destination = 1;
+    DestinationId destination = 1;
     std::string state = "Ready";
+    int capacity_hint = 50;
 };
 
 struct Site {
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -122,6 +122,7 @@
     server_.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server_.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
     server_.turned_away_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
+    dispatcher_.look_up_in(&cluster_);
     keeper_.tell_to([&] { core.put(dispatch::Synced{}); });
 }
 
@@ -167,12 +168,11 @@
 
 void Life::start_anew() {
     if (!server_.listen(listen_)) throw std::runtime_error("cannot listen on " + config_.listen);
-    const auto known = cluster::read_news(config_.known, config_);
-    auto first = known ? cluster_.begin_with(*known) : dispatch::Listed{};
+    auto first = cluster_.begin_with_known();
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
     scheduler_.spawn(cluster_.watch());
-    for (const Time until = scheduler_.now() + fresh_list_ms;
+    for (const Time until = runtime::steady_now() + fresh_list_ms;
          !cluster_.heard() && runtime::steady_now() < until;)
         scheduler_.run_until(runtime::steady_now() + 2);
     if (plan_ && !membership_) dispatcher_.plan_by(plan_);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -124,6 +124,8 @@
             return in >> instances_, void();  // dispatchers in the settings, from the next start
         if (who == "reports") return reports_ = true, void();
         if (who == "sockets") return in >> sockets_, void();
+        if (who == "destinations") return in >> destinations_[0] >> destinations_[1], void();
+        if (who == "known") return in >> unread_, void();
         if (who == "go") return signal_child(SIGCONT);
         if (who == "wait") {
             int ms = 0;
@@ -420,14 +422,19 @@
         Site site;
         site.workers = workers;
         site.discovery = discovery;
-        site.hosts = {{"s-1", host1_.address(), 1},
-                      {"s-2", host2_.address(), 2},
+        site.hosts = {{"s-1", host1_.address(), destinations_[0]},
+                      {"s-2", host2_.address(), destinations_[1]},
                       {"s-9", host2_.address(), 9, "Terminating"}};  // a destination without hosts
         site.disk_mb = disk_mb_;
         site.instances = instances_;
         site.reports = reports_;
         site.sockets = sockets_;
-        std::ofstream(folder_ + "/config.json") << site_config(site);
+        auto text = site_config(site);
+        static constexpr std::string_view targets = "\"targets\":[";
+        std::string unread;
+        for (int i = 0; i < unread_; ++i) unread += "0,";
+        text.insert(text.find(targets) + targets.size(), unread);
+        std::ofstream(folder_ + "/config.json") << text;
     }
 
     void replace(const std::string& extra) {
@@ -581,7 +588,8 @@
     std::string folder_;
     double disk_mb_ = 3;
     int instances_ = 3;
-    int sockets_ = 256;
+    int sockets_ = 256, unread_ = 0;
+    DestinationId destinations_[2] = {1, 2};  // of hosts 1 and 2
     bool reports_ = false;
     std::uint16_t port_ = 0, admin_port_ = 0, former_admin_ = 0;
     Descriptor heir_;
