--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -51,7 +51,8 @@
     void sync_by(Durable* durable) { durable_ = durable; }
     // Who is asked before new work is answered by the present rules; nullptr: nobody.
     void judge_by(const Authority* authority) { authority_ = authority; }
-    // Who knows the destinations that sleep, and after how long without a message one may; nullptr: none does.
+    // Who knows the destinations that sleep, and after how long without a message one may; nullptr: none
+    // does.
     void look_up_in(Directory* directory, double rest_ms = 60000) {
         directory_ = directory;
         rest_ms_ = rest_ms;
