--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -394,7 +394,8 @@
 std::string HollowList::entry(std::uint32_t host, const char* state, std::uint16_t port) const {
     char uid[32];
     std::snprintf(uid, sizeof uid, "s-%08x", host);
-    SiteHost said{uid, runtime::to_text({address_of(host), htons(port)}), destination_of(host), state};
+    SiteHost said{uid, runtime::to_text({address_of(host), htons(port)}),
+                  static_cast<DestinationId>(destination_of(host)), state};
     said.capacity_hint = capacity_hint_;
     return site_entry(said);
 }
