Count the places of an index as it grows, not for each line of a list

Cause: whether a line fits the memory limit is asked for each line of a list, and the answer summed up all 768 parts of the three indexes (cluster/slot_index bytes, read in review). Change: the sum is kept.

--- a/src/cluster/slot_index.hpp
+++ b/src/cluster/slot_index.hpp
@@ -65,11 +65,7 @@
         return no_slot;
     }
 
-    std::size_t bytes() const {
-        std::size_t sum = parts_.size() * sizeof(Part);
-        for (const auto& part : parts_) sum += part.capacity * sizeof(Slot);
-        return sum;
-    }
+    std::size_t bytes() const { return parts_.size() * sizeof(Part) + places_ * sizeof(Slot); }
 
 private:
     static constexpr std::size_t part_count = 256;
@@ -94,17 +90,19 @@
     }
 
     template <class HashOf>
-    static void grow(Part& part, const HashOf& hash_of) {
+    void grow(Part& part, const HashOf& hash_of) {
         Part larger;
         larger.capacity = part.capacity + part.capacity / 4 + 4;
         larger.slots = std::make_unique<Slot[]>(larger.capacity);
         std::fill_n(larger.slots.get(), larger.capacity, no_slot);
         for (std::uint32_t i = 0; i < part.capacity; ++i)
             if (part.slots[i] != no_slot) place(larger, hash_of(part.slots[i]), part.slots[i]);
+        places_ += larger.capacity - part.capacity;
         part = std::move(larger);
     }
 
     std::vector<Part> parts_;
+    std::size_t places_ = 0;  // of all parts: bytes() is asked for with each line of a list
 };
 
 }  // namespace brasslift::cluster
