Keep each message's steps with ids and reasons, and count refusals, attempts and closes

Cause: the evidence of the incident has no line for any request, since nothing told which step a message took, why it was refused, repeated or its connection closed. Change: a bounded history of steps (dispatch/event_log), on request appended to the file in PROXY_EVENTS; figures app.refused, app.attempts, app.clients_closed by reason, app.records_unwritten; the names of outcomes in one place (dispatch/names). The test suite has not been run on this commit.

--- a/src/admin/figures.cpp
+++ b/src/admin/figures.cpp
@@ -1,5 +1,7 @@
 #include "admin/figures.hpp"
 
+#include "dispatch/names.hpp"
+
 namespace brasslift::admin {
 namespace {
 
@@ -11,6 +13,18 @@
     text += ':' + std::to_string(value) + '|' + kind + '\n';
 }
 
+void add_counts(std::string& text, const dispatch::Counts& counts) {
+    for (std::size_t i = 0; i < counts.refused.size(); ++i)
+        add(text, "refused", dispatch::name_of(static_cast<dispatch::Refusal>(i)), counts.refused[i], 'c');
+    for (std::size_t i = 0; i < counts.attempts.size(); ++i)
+        add(text, "attempts", dispatch::name_of(static_cast<Result>(i)), counts.attempts[i], 'c');
+    add(text, "attempts_unsent", "", counts.unsent, 'c');
+    add(text, "attempts_retried", "", counts.retried, 'c');
+    add(text, "messages_restored", "", counts.restored, 'c');
+    add(text, "notices_answered", "", counts.notices_answered, 'c');
+    add(text, "records_unwritten", "", counts.records_unwritten, 'c');
+}
+
 }  // namespace
 
 std::string statsd(const Page& page) {
@@ -27,6 +41,10 @@
     add(text, "out_of_rotation", "", page.avoided, 'g');
     add(text, "cfg_accepted", "", page.configs_taken, 'c');
     add(text, "cfg_invalid", "", page.configs_refused, 'c');
+    add_counts(text, page.counts);
+    for (std::size_t i = 0; i < page.clients_closed.size(); ++i)
+        add(text, "clients_closed", downstream::name_of(static_cast<downstream::ClosedBy>(i)),
+            page.clients_closed[i], 'c');
     return text;
 }
 
--- a/src/admin/figures.hpp
+++ b/src/admin/figures.hpp
@@ -5,12 +5,15 @@
 #include <vector>
 
 #include "dispatch/figures.hpp"
+#include "downstream/server.hpp"
 
 namespace brasslift::admin {
 
 struct Page {
     const std::vector<std::string>& classes;
     const dispatch::Figures& figures;
+    const dispatch::Counts& counts;
+    const std::array<std::uint64_t, downstream::closed_by_count>& clients_closed;
     std::uint64_t relayed = 0;  // messages whose call's last byte has been written
     std::size_t open = 0;       // taken on and not ended
     std::size_t listed = 0;     // hosts of discovery's list
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -63,8 +63,13 @@
         parked_until_.emplace(until, route);
         return;
     }
-    if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) return not_sent(attempt, number, false);
+    if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) {
+        ++counts_.records_unwritten;
+        return not_sent(attempt, number, false, "journal");
+    }
     ++flying_;
+    if (number > 0) ++counts_.retried;
+    events_.note({now_, Step::sent, m->id, m->name, {}, attempt.endpoint, number});
     Trace trace;
     if (observer_ != nullptr) trace = observer_->sends(now_, *m, pool.get());
     if (fresh) calls.push_back({attempt.endpoint, now_, {}, std::move(pool)});
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/names.hpp"
 #include "runtime/log.hpp"
 #include "store/format.hpp"
 
@@ -43,6 +44,8 @@
             continue;
         }
         remember(m);
+        ++counts_.restored;
+        note(Step::restored, m, m.cut ? "out_at_the_end" : m.may_have_run ? "may_have_run" : "untried");
         if (directory_ != nullptr && awake_.count(m.destination) == 0) {
             Listed woken;
             woken.from_config = true;
@@ -171,6 +174,19 @@
 
 void Dispatcher::tell(const Event& event) { sender_.handle(now_, event, actions_); }
 
+void Dispatcher::note(Step step, const Owed& m, std::string_view reason, double wait_ms) {
+    MessageEvent event{now_, step, m.id, m.name, reason};
+    event.wait_ms = wait_ms;
+    events_.note(event);
+}
+
+void Dispatcher::note_refused(MessageId id, std::string_view name, Refusal by, double pause_ms) {
+    ++counts_.refused[static_cast<std::size_t>(by)];
+    MessageEvent event{now_, Step::refused, id, name, name_of(by)};
+    event.wait_ms = pause_ms;
+    events_.note(event);
+}
+
 void Dispatcher::perform() {
     // Refusals of streams that still wait come first: those are never taken on.
     const auto actions = std::exchange(actions_, {});
@@ -219,6 +235,7 @@
 
 void Dispatcher::refuse(const Submission& s, Client& client, Reply reply, Refusal by, double pause_ms,
                         std::string_view rule) {
+    note_refused(0, s.name, by, pause_ms);
     if (observer_ != nullptr) observer_->refused(now_, seen_of(s), by, rule, pause_ms);
     auto& figures = figures_[s.message_class];
     ++(reply == Reply::nowhere || reply == Reply::conflict ? figures.faulted : figures.throttled);
@@ -338,10 +355,13 @@
         } else if (const auto* const m = ledger_.take(std::move(candidate.message), candidate.print);
                    m == nullptr) {
             ++figures_[message_class].throttled;
+            ++counts_.records_unwritten;
+            note_refused(id, name, Refusal::journal, full_pause_ms);
             client->answer({Reply::full, full_pause_ms, 0});
             withdraw(id, Refusal::journal);
         } else {
             remember(name, candidate.print);
+            note(Step::taken, *m);
             if (observer_ != nullptr) observer_->taken(now_, *m);
             if (durable_ == nullptr)
                 client->answer({Reply::taken, 0, id});
@@ -353,6 +373,7 @@
 
 void Dispatcher::withdraw(MessageId id, Refusal why) {
     if (gate_) gate_->undo(id);
+    events_.note({now_, Step::withdrawn, id, {}, name_of(why)});
     if (observer_ != nullptr) observer_->abandoned(now_, id, why);
     withdrawn_.insert(id);
     tell(Withdrawn{id});
@@ -362,6 +383,7 @@
 void Dispatcher::on(const Untold& untold) {
     auto* const m = ledger_.find(untold.id);
     if (m == nullptr || m->ending != Ending::none) return;
+    note(Step::withdrawn, *m, name_of(Refusal::gone));
     // Where nothing has gone out its client may hand it in again under the same id.
     if (m->attempts == 0) forget(m->name);
     ledger_.end(*m, Ending::done, 0);
@@ -373,6 +395,7 @@
 void Dispatcher::on(const Verdict& v) {
     if (flying_ > 0) --flying_;
     landed(v.id, v.attempt);
+    ++counts_.attempts[static_cast<std::size_t>(v.result)];
     Outcome outcome;
     outcome.id = v.id;
     outcome.endpoint = v.host;
@@ -384,11 +407,13 @@
     outcome.over = true;
     if (auto* const m = ledger_.find(v.id); m != nullptr) {
         outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
+        events_.note({now_, Step::landed, v.id, m->name, name_of(v.result), v.host, v.attempt, v.wait_ms});
         if (observer_ != nullptr) observer_->landed(now_, *m, v);
         ledger_.outcome(*m, v.result);
         auto* const left = ledger_.find(v.id);
         if (left != nullptr && outcome.over) {
             let_go(v.id);  // nothing where it has ended before
+            if (left->ending == Ending::none) note(Step::ended, *left, name_of(Ending::done));
             if (left->ending == Ending::none && v.result == Result::ok)
                 ++figures_[left->message_class].fulfilled;
             if (observer_ != nullptr && left->ending == Ending::none)
@@ -401,8 +426,11 @@
         }
     }
     tell(outcome);
-    if (observer_ != nullptr && !outcome.over)
-        observer_->sleeps(now_, v.id, sender_.sleeps_until(v.id), v.wait_ms > 0);
+    if (outcome.over) return;
+    const Time until = sender_.sleeps_until(v.id);
+    if (until > now_)
+        events_.note({now_, Step::sleeps, v.id, {}, name_of(v.result), v.host, v.attempt, until - now_});
+    if (observer_ != nullptr) observer_->sleeps(now_, v.id, until, v.wait_ms > 0);
 }
 
 void Dispatcher::on(const Listed& listed) {
@@ -422,13 +450,19 @@
 }
 
 void Dispatcher::on(const Told& told) {
-    for (const auto id : told.ids) ledger_.told(id);
+    counts_.notices_answered += told.ids.size();
+    for (const auto id : told.ids) {
+        if (const auto* const m = ledger_.find(id)) note(Step::notice_answered, *m, name_of(m->ending));
+        ledger_.told(id);
+    }
 }
 
 void Dispatcher::on(const Stop& stop) { tell(Stopping{stop.at}); }
 
-void Dispatcher::not_sent(const Attempt& attempt, int number, bool over) {
+void Dispatcher::not_sent(const Attempt& attempt, int number, bool over, std::string_view why) {
     ++flying_;
+    ++counts_.unsent;
+    events_.note({now_, Step::unsent, attempt.id, {}, why, attempt.endpoint, number});
     Verdict verdict;
     verdict.id = attempt.id;
     verdict.host = attempt.endpoint;
@@ -440,7 +474,8 @@
 
 void Dispatcher::not_sent(const Attempt& attempt) {
     const auto* const m = ledger_.find(attempt.id);
-    not_sent(attempt, m == nullptr ? 0 : m->attempts, m == nullptr || m->ending != Ending::none);
+    const bool over = m == nullptr || m->ending != Ending::none;
+    not_sent(attempt, m == nullptr ? 0 : m->attempts, over, over ? "over" : "no_room_in_time");
 }
 
 void Dispatcher::do_action(const Attempt& attempt) {
@@ -450,12 +485,12 @@
     const int number = m->attempts;
     const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
                            number < settings_.max_attempts;
-    if (!permitted) return not_sent(attempt, number, false);
+    if (!permitted) return not_sent(attempt, number, false, "not_permitted");
     if (!gate_) return send(attempt, nullptr);
     auto permit = gate_->permit(now_, subject_of(*m), number);
     if (permit.pause_ms <= 0) return send(attempt, std::move(permit.pool));
     give_up(*m, permit.pause_ms);
-    not_sent(attempt, number, true);
+    not_sent(attempt, number, true, "policy");
 }
 
 void Dispatcher::let_go(MessageId id) {
@@ -465,6 +500,7 @@
 void Dispatcher::do_action(const Refuse& refuse) {
     if (const auto waiting = candidates_.find(refuse.id); waiting != candidates_.end()) {
         if (gate_) gate_->undo(refuse.id);
+        note_refused(refuse.id, waiting->second.message.name, Refusal::module, refuse.pause_ms);
         if (observer_ != nullptr)
             observer_->refused(now_, seen_of(waiting->second), Refusal::module, {}, refuse.pause_ms);
         ++figures_[waiting->second.message.message_class].throttled;
@@ -487,6 +523,7 @@
     auto& figures = figures_[m.message_class];
     ++(ending == Ending::failed ? figures.faulted : figures.throttled);
     let_go(m.id);
+    note(Step::ended, m, name_of(ending), again_ms);
     if (observer_ != nullptr) observer_->ended(now_, m, ending, again);
     ledger_.end(m, ending, again);
     tell_client({m.id, m.name, ending, again});
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include "dispatch/authority.hpp"
 #include "dispatch/directory.hpp"
 #include "dispatch/durable.hpp"
+#include "dispatch/event_log.hpp"
 #include "dispatch/figures.hpp"
 #include "dispatch/ledger.hpp"
 #include "dispatch/observer.hpp"
@@ -75,6 +76,8 @@
     runtime::Mailbox<Letter>& mailbox() { return mailbox_; }
     std::size_t flying() const { return flying_; }
     const Figures& figures() const { return figures_; }
+    const Counts& counts() const { return counts_; }
+    EventLog& events() { return events_; }
     // A front had no room for a request of that class.
     void throttled(std::size_t message_class) { ++figures_[message_class].throttled; }
     std::size_t avoided() const;  // listed hosts that nothing is sent to at the moment
@@ -130,6 +133,8 @@
     };
 
     void tell(const Event& event);
+    void note(Step step, const Owed& message, std::string_view reason = {}, double wait_ms = 0);
+    void note_refused(MessageId id, std::string_view name, Refusal by, double pause_ms);
     void perform();
     void do_action(const Attempt& attempt);
     void do_action(const Refuse& refuse);
@@ -158,7 +163,7 @@
     void landed(MessageId id, int attempt);
     void unpark(const Route& route);
     void expire_parked();
-    void not_sent(const Attempt& attempt, int number, bool over);
+    void not_sent(const Attempt& attempt, int number, bool over, std::string_view why);
     void when_durable(std::function<void(bool)> act);
     void release_durable();
     void hand_over(Call call);
@@ -171,6 +176,8 @@
     runtime::Mailbox<Letter> mailbox_;
     Settings settings_;
     Figures figures_;
+    Counts counts_;
+    EventLog events_;
     Sender sender_;
     Ledger& ledger_;
     Upstream& upstream_;
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -43,6 +43,8 @@
             continue;
         }
         remember(m);
+        ++counts_.restored;
+        note(Step::restored, m, "handed_over");
         if (observer_ != nullptr) observer_->restored(now_, m);
     }
 }
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -27,6 +27,7 @@
     Time since = 0;        // idle, or when its request began
     Time heard = 0;        // the latest bytes
     std::size_t held = 0;  // bytes of its request, as the server counts them
+    ClosedBy closed_by = ClosedBy::client;
     // leaving: it closes where no request has begun; closing: no request of it will be read any more.
     bool busy = false, served = false, evicted = false, leaving = false, closing = false;
 };
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -93,6 +93,20 @@
 
 }  // namespace
 
+std::string_view name_of(ClosedBy by) {
+    switch (by) {
+        case ClosedBy::client: return "client";
+        case ClosedBy::request: return "request";
+        case ClosedBy::idle: return "idle";
+        case ClosedBy::late_request: return "late_request";
+        case ClosedBy::faulty: return "faulty";
+        case ClosedBy::no_memory: return "no_memory";
+        case ClosedBy::eviction: return "eviction";
+        case ClosedBy::no_watch: return "no_watch";
+    }
+    return "";
+}
+
 Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced) {
     if (request.target.empty() || request.target.front() != '/') return 400;
     const int message_class = class_of(request.target, config.classes);
@@ -172,7 +186,10 @@
 
 void Server::take(runtime::Descriptor fd) {
     auto connection = std::make_shared<Connection>(scheduler_, std::move(fd), limits_.request);
-    if (!connection->socket) return;
+    if (!connection->socket) {
+        ++closed_[static_cast<std::size_t>(ClosedBy::no_watch)];
+        return;
+    }
     if (open_ >= limits_.connections && !make_room()) {
         // Every other one has a request that is being answered.
         if (turning_away_ < most_turned_away) return scheduler_.spawn(turn_away(std::move(connection)));
@@ -248,6 +265,7 @@
         c.socket.end_sending();
     }
     c.evicted = true;
+    c.closed_by = ClosedBy::eviction;
     c.socket.close();
     --open_;
     c.waker.notify();
@@ -342,11 +360,14 @@
         if (!c.unread.empty()) co_await c.waker.wait(scheduler_.now());
     }
     c.closing = true;
+    if (close) c.closed_by = ClosedBy::request;
+    if (!c.evicted && c.parser.fault() != http::Fault::none) c.closed_by = ClosedBy::faulty;
     if (!c.evicted && c.parser.fault() != http::Fault::none)
         close = co_await write_all(c, reply(http::status_of(c.parser.fault()), true));
     hold(c, 0);
     if ((close || c.leaving) && !c.evicted) co_await linger(c);
     c.socket.close();
+    ++closed_[static_cast<std::size_t>(c.closed_by)];
     if (!c.evicted) --open_;
     connections_.remove(connection);
 }
@@ -410,6 +431,7 @@
         if (c.parser.fault() != http::Fault::none) co_return false;
         if (!hold(c, c.parser.message().body.capacity() + c.unread.capacity())) {
             turned_away(c.parser.message().target);
+            c.closed_by = ClosedBy::no_memory;
             co_await write_all(c, reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
             co_return false;
         }
@@ -429,8 +451,12 @@
             continue;
         }
         if (got.io != runtime::Io::blocked) co_return false;
-        if (c.leaving && !c.parser.started()) co_return false;
+        if (c.leaving && !c.parser.started()) {
+            c.closed_by = ClosedBy::idle;
+            co_return false;
+        }
         if (scheduler_.now() >= until) {
+            c.closed_by = c.parser.started() ? ClosedBy::late_request : ClosedBy::idle;
             c.leaving = true;
             if (c.parser.started()) co_await write_all(c, reply(408, true));
             co_return false;
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -22,6 +22,20 @@
 // `traced`: with the trace that its client began.
 Read read_stream(http::Message& request, const config::Config& config, Time now, bool traced = false);
 
+// Why a client's connection came to its end.
+enum class ClosedBy : std::uint8_t {
+    client,        // it ended or broke, or its answer could not be written
+    request,       // the request or its answer said so
+    idle,          // it rested for too long, or clients are being sent away
+    late_request,  // its request did not come whole in time
+    faulty,        // what it sent is no request
+    no_memory,     // too many requests were being read
+    eviction,      // its descriptor was needed
+    no_watch       // the system would not tell of it
+};
+constexpr std::size_t closed_by_count = 8;
+std::string_view name_of(ClosedBy by);
+
 // What a server gives to its successor. Descriptors are places in the luggage.
 struct ClientNote {
     int fd = -1;
@@ -70,6 +84,8 @@
     bool adopt(const ServerState& state, state::Luggage& luggage);
     void close_idle();
     std::size_t open() const { return open_; }
+    // Connections that have ended, by why.
+    const std::array<std::uint64_t, closed_by_count>& closed() const { return closed_; }
 
 private:
     class Connection;
@@ -103,6 +119,7 @@
     Submit submit_;
     std::function<void(MessageId)> untold_;
     std::function<void(std::size_t)> turned_away_;
+    std::array<std::uint64_t, closed_by_count> closed_{};
     std::size_t open_ = 0, held_ = 0, turning_away_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
     bool traced_ = false, closing_drained_ = false, paused_ = false;
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -1,6 +1,7 @@
 #include "serve/life.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <exception>
 #include <stdexcept>
 
@@ -146,6 +147,7 @@
 }
 
 void Life::begin() {
+    if (const char* const path = std::getenv("PROXY_EVENTS")) dispatcher_.events().append_to(path);
     watch_.follow(plan_ ? &plan_->rules() : nullptr);
     if (store_.options().durability != store::Durability::none) dispatcher_.sync_by(&syncs_);
     if (plan_ && plan_->rules().members) {
@@ -209,9 +211,9 @@
 
 std::string Life::figures() const {
     const auto of_members = membership_ ? membership_->figures() : std::string();
-    return of_members +
-           admin::statsd({config_.classes, dispatcher_.figures(), pool_.written(), ledger_.held(),
-                          cluster_.listed(), dispatcher_.avoided(), configs_taken_, configs_refused_});
+    return of_members + admin::statsd({config_.classes, dispatcher_.figures(), dispatcher_.counts(),
+                                       server_.closed(), pool_.written(), ledger_.held(), cluster_.listed(),
+                                       dispatcher_.avoided(), configs_taken_, configs_refused_});
 }
 
 // What a reload changes while the program runs. The rest of the config shapes the module and the store, and
