--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-std::string request_class(const char* name, const char* repeat) {
+std::string request_class(const char* name, const char* repeat, bool in_order = false) {
     return std::string("{\"name\":\"") + name + "\",\"idempotency\":\"" + repeat +
            "\",\"dedup_scope\":\"all\",\"deadline_ms\":16000.0,\"objective_ms\":2000.0,\"importance\":1.0,"
-           "\"late_share\":0.5,\"key_ttl_ms\":5000.0}";
+           "\"late_share\":0.5,\"key_ttl_ms\":5000.0" +
+           (in_order ? ",\"by_arrival\":true}" : "}");
 }
 
 }  // namespace
@@ -36,11 +37,13 @@
            "\"weights\":\"" +
            (site.reports ? "off" : "rough") +
            "\",\"invariants\":{\"drain_grace_ms\":2000.0,\"start_capacity\":0.14,"
-           "\"ramp_time_ms\":11000.0,\"tip_multiple\":2.5,\"fall_ms\":2000.0},\"localities\":[\"a\"],"
+           "\"ramp_time_ms\":11000.0,\"tip_multiple\":2.5,\"fall_ms\":2000.0,\"turn_gap_ms\":100.0},"
+           "\"localities\":[\"a\"],"
            "\"host_types\":[\"many\"],\"report\":{\"fields\":[" +
            (site.reports ? "\"x0\",\"x1\"],\"how\":\"inline\"}" : "],\"how\":\"off\"}") +
            ",\"request_classes\":[" + request_class("safe", "pure") + ',' + request_class("keyed", "token") +
            ',' + request_class("payment", "side_effect") +
+           (site.has_ordered ? ',' + request_class("ordered", "side_effect", true) : "") +
            "],\"customers\":[{\"name\":\"acme\",\"allowance_per_s\":1000.0,\"share\":0.4},"
            "{\"name\":\"bolt\",\"allowance_per_s\":1000.0,\"share\":0.3}" +
            (site.has_coop ? ",{\"name\":\"coop\",\"allowance_per_s\":1000.0,\"share\":0.3}]}}" : "]}}");
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -123,6 +123,7 @@
         if (who == "fleet")
             return in >> instances_, void();  // dispatchers in the settings, from the next start
         if (who == "reports") return reports_ = true, void();
+        if (who == "ordered") return ordered_ = true, void();
         if (who == "sockets") return in >> sockets_, void();
         if (who == "destinations") return in >> destinations_[0] >> destinations_[1], void();
         if (who == "known") return in >> unread_, void();
@@ -428,6 +429,7 @@
         site.disk_mb = disk_mb_;
         site.instances = instances_;
         site.reports = reports_;
+        site.has_ordered = ordered_;
         site.sockets = sockets_;
         auto text = site_config(site);
         static constexpr std::string_view targets = "\"targets\":[";
@@ -590,7 +592,7 @@
     int instances_ = 3;
     int sockets_ = 256, unread_ = 0;
     DestinationId destinations_[2] = {1, 2};  // of hosts 1 and 2
-    bool reports_ = false;
+    bool reports_ = false, ordered_ = false;
     std::uint16_t port_ = 0, admin_port_ = 0, former_admin_ = 0;
     Descriptor heir_;
     std::thread ancestor_, burst_;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -5,6 +5,7 @@
 //                               folder of MB, 3 if nothing else was said)
 //   fleet N                     so many dispatchers in the settings, from the next start
 //   reports                     settings by which answers carry load reports and the list no weights, likewise
+//   ordered                     settings with a fourth class, `ordered`, which keeps each key's order, likewise
 //   destinations A B            those that hosts 1 and 2 are of (1 and 2), likewise
 //   known N                     so many entries that cannot be read ahead of the list in the config, likewise
 //   operator TEXT               the operators' file from the next start or reload on (\\n as in C)
