--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -117,6 +117,7 @@
     EndpointId endpoint;
     int attempt = 0;
     Result result = Result::ok;
+    bool unsent = false;     // it did not leave this process: it does not count as an attempt
     bool over = false;       // the message has ended
     bool unsettled = false;  // over, but it keeps its key's turn until Settled
     double elapsed_ms = 0;
@@ -173,6 +174,7 @@
     EndpointId endpoint;
     Time expires = 0;
     Time start_by = 0;  // its first byte goes by then or not at all
+    int number = 0;     // of the message's attempts, from 0; its outcome says the same
 };
 struct Refuse {
     MessageId id = 0;
--- a/src/admin/figures.cpp
+++ b/src/admin/figures.cpp
@@ -23,6 +23,25 @@
     add(text, "messages_restored", "", counts.restored, 'c');
     add(text, "notices_answered", "", counts.notices_answered, 'c');
     add(text, "records_unwritten", "", counts.records_unwritten, 'c');
+    std::uint64_t violations = counts.stale_turns;
+    for (std::size_t i = 0; i < counts.withheld.size(); ++i)
+        if (policy::breaks_a_rule(static_cast<policy::Barrier>(i))) violations += counts.withheld[i];
+    add(text, "rule_violations", "", violations, 'c');
+}
+
+void add_barriers(std::string& text, std::string_view name, const upstream::Pool::Withheld& withheld) {
+    for (std::size_t i = 1; i < withheld.size(); ++i)
+        if (withheld[i] > 0)
+            add(text, name, policy::name_of(static_cast<policy::Barrier>(i)), withheld[i], 'c');
+}
+
+void add_clients(std::string& text, const downstream::Server& server) {
+    const auto& closed = server.closed();
+    for (std::size_t i = 0; i < closed.size(); ++i)
+        add(text, "clients_closed", downstream::name_of(static_cast<downstream::ClosedBy>(i)), closed[i],
+            'c');
+    add(text, "clients_unanswered", "", server.unanswered(), 'c');
+    add(text, "accepts_failed", "", server.accepts_failed(), 'c');
 }
 
 }  // namespace
@@ -42,9 +61,9 @@
     add(text, "cfg_accepted", "", page.configs_taken, 'c');
     add(text, "cfg_invalid", "", page.configs_refused, 'c');
     add_counts(text, page.counts);
-    for (std::size_t i = 0; i < page.clients_closed.size(); ++i)
-        add(text, "clients_closed", downstream::name_of(static_cast<downstream::ClosedBy>(i)),
-            page.clients_closed[i], 'c');
+    add_barriers(text, "attempts_withheld", page.counts.withheld);
+    add_barriers(text, "calls_withheld", page.withheld);
+    add_clients(text, page.server);
     return text;
 }
 
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -95,6 +95,9 @@
         switch (runtime::accept_from(listener_, fd)) {
             case runtime::Accepted::one: take(std::move(fd)); break;
             case runtime::Accepted::none: co_await waker_.wait(); break;
+            case runtime::Accepted::trouble:
+                co_await runtime::sleep_until(scheduler_, scheduler_.now() + pause_ms);
+                break;
             case runtime::Accepted::no_room:
                 if (!aside_.empty())
                     aside_.pop_back();
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -699,7 +699,8 @@
         m.call = call;
         ++m.attempts;
         ++calls_[call].flying;
-        act(Attempt{m.id, endpoints_[endpoint].id, std::min(m.due, now_ + patience), last_call(m)});
+        const Time expires = std::min(m.due, now_ + patience);
+        act(Attempt{m.id, endpoints_[endpoint].id, expires, last_call(m), m.attempts - 1});
     }
 
     void on(const Outcome& o) {
@@ -718,6 +719,7 @@
             lane.latency[m.message_class].add(o.elapsed_ms);
             overall_[m.message_class].add(o.elapsed_ms);
         }
+        if (o.unsent) forget_quiet(lane, e);
         // A wait may come with any answer, also one that took messages on.
         if (o.result != Result::full && o.wait_ms > 0)
             lane.wait_until = std::max(lane.wait_until, now_ + o.wait_ms + s_.tick_ms);
@@ -730,6 +732,12 @@
         }
     }
 
+    // Nothing went there: that nothing came back says nothing.
+    static void forget_quiet(Lane& lane, Endpoint& e) {
+        if (lane.flying == 0) lane.health.quiet_since = never;
+        if (e.flying == 0) e.health.quiet_since = never;
+    }
+
     void land(Message& m) {
         auto& e = endpoints_[m.endpoint];
         auto& lane = lanes_[e.lane];
@@ -854,7 +862,8 @@
             m.zone = endpoints_[m.endpoint].zone;
         }
         if (o.result != Result::full) m.avoid = o.endpoint;
-        const double sleep = o.wait_ms > 0 ? o.wait_ms + s_.tick_ms : sleep_ms(m.attempts - 1);
+        if (o.unsent) --m.attempts;
+        const double sleep = o.wait_ms > 0 ? o.wait_ms + s_.tick_ms : sleep_ms(std::max(0, m.attempts - 1));
         const bool permitted = m.first_risky == never || c.repeat != Repeat::side_effect;
         if (!permitted || m.attempts >= s_.max_attempts || now_ + sleep >= last_call(m)) return finish(m);
         m.state = State::sleeping;
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -42,7 +42,7 @@
     const auto host = hosts_.find(attempt.endpoint.address);
     // One that waited may have ended, or its host may have left, in the meantime.
     if (m == nullptr || m->ending != Ending::none || host == hosts_.end()) return not_sent(attempt);
-    const int number = m->attempts;
+    const int number = attempt.number;
     const auto kind = host->second.kind;
     const auto room =
         static_cast<std::size_t>(kind < settings_.kinds.size() ? settings_.kinds[kind].batch : 1);
@@ -63,9 +63,9 @@
         parked_until_.emplace(until, route);
         return;
     }
-    if (!ledger_.attempt(*m, now_ + wall_offset_, host->second.zone)) {
+    if (!ledger_.attempt(*m, number, now_ + wall_offset_, host->second.zone)) {
         ++counts_.records_unwritten;
-        return not_sent(attempt, number, false, "journal");
+        return not_sent(attempt, false, "journal");
     }
     ++flying_;
     if (number > 0) ++counts_.retried;
@@ -126,6 +126,7 @@
             verdict.host = call->host;
             verdict.attempt = parcel.attempt;
             verdict.result = Result::moot;
+            verdict.unsent = true;
             verdict.over = over;
             mailbox_.put(verdict);
             return true;
@@ -154,6 +155,7 @@
         auto* const m = ledger_.find(id);
         if (m == nullptr || m->ending != Ending::none) return;
         const auto name = m->name;
+        leave_turn(*m);
         ledger_.end(*m, Ending::done, 0);
         withdraw(id, durable ? Refusal::gone : Refusal::journal);
         forget(name);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,12 +14,16 @@
 constexpr int most_looks = 2;    // for each message, where more ids are remembered than are to be
 // On sockets a key rests for so much longer: the rule's own slack, and what a process may be held up between
 // the look at its clock and the close of a call that it gives up.
-constexpr double rest_slack_ms = 50 + 150;
+constexpr double rest_slack_ms = policy::socket_slack_ms + policy::held_up_ms;
+// A repeat arrives within its window though its process is held up and its way is long.
+constexpr double window_slack_ms = 200, least_window_share = 0.5;
 
 // The module's settings, where a message's end is settled only once its client has been told.
 Settings on_sockets(Settings settings) {
     settings.ends_settle_later = true;
     if (settings.turn_gap_ms > 0) settings.turn_gap_ms += rest_slack_ms;
+    for (auto& c : settings.classes)
+        c.window_ms = std::max(least_window_share * c.window_ms, c.window_ms - window_slack_ms);
     return settings;
 }
 
@@ -43,7 +47,7 @@
 void Dispatcher::recover(const Listed& known) {
     now_ = scheduler_.now();
     // Once a life: a step of the wall clock while it runs moves no deadline.
-    wall_offset_ = runtime::wall_now() - runtime::steady_now();
+    wall_offset_ = ledger_.wall_now() - runtime::steady_now();
     on(known);
     // What discovery has said since comes before the first send: a host may have left in the meantime.
     for (auto& letter : mailbox_.take_all()) std::visit([this](auto& l) { on(l); }, letter);
@@ -52,12 +56,17 @@
         if (m.ending != Ending::none) {
             if (m.order_key != 0) {
                 hold_turn(m, &OpenEnd::notice);
+                turns_.join(m.order_key, m.id);
                 tell(Unsettled{m.id, m.order_key});
             }
             tell_client({m.id, m.name, m.ending, m.again_ms, m.order_key});
             continue;
         }
         remember(m);
+        if (m.order_key != 0) {
+            turns_.join(m.order_key, m.id);
+            if (m.cut) turns_.rest(m.order_key, now_ + settings_.turn_gap_ms);
+        }
         ++counts_.restored;
         note(Step::restored, m, m.cut ? "out_at_the_end" : m.may_have_run ? "may_have_run" : "untried");
         if (directory_ != nullptr && awake_.count(m.destination) == 0) {
@@ -386,6 +395,7 @@
             withdraw(id, Refusal::journal);
         } else {
             remember(name, candidate.print);
+            if (m->order_key != 0) turns_.join(m->order_key, id);
             note(Step::taken, *m);
             if (observer_ != nullptr) observer_->taken(now_, *m);
             if (durable_ == nullptr)
@@ -411,6 +421,7 @@
     note(Step::withdrawn, *m, name_of(Refusal::gone));
     // Where nothing has gone out its client may hand it in again under the same id.
     if (m->attempts == 0) forget(m->name);
+    leave_turn(*m);
     ledger_.end(*m, Ending::done, 0);
     if (gate_) gate_->undo(untold.id);
     if (observer_ != nullptr) observer_->abandoned(now_, untold.id, Refusal::gone);
@@ -418,7 +429,10 @@
 }
 
 void Dispatcher::hold_turn(const Owed& m, bool OpenEnd::*because) {
-    if (m.order_key != 0) open_ends_[m.id].*because = true;
+    if (m.order_key == 0) return;
+    auto& open = open_ends_[m.id];
+    open.order_key = m.order_key;
+    open.*because = true;
 }
 
 void Dispatcher::let_turn_go(MessageId id, bool OpenEnd::*because) {
@@ -432,9 +446,67 @@
 void Dispatcher::settle(MessageId id) {
     const auto found = open_ends_.find(id);
     if (found != open_ends_.end() && (found->second.notice || found->second.call)) return;
-    const bool rests = found != open_ends_.end() && found->second.rests;
-    if (found != open_ends_.end()) open_ends_.erase(found);
-    tell(Settled{id, rests});
+    Settled settled{id, false};
+    if (found != open_ends_.end()) {
+        settled.rests = found->second.rests;
+        const auto key = found->second.order_key;
+        if (settled.rests) turns_.rest(key, now_ + settings_.turn_gap_ms);
+        turns_.leave(key, id);
+        open_ends_.erase(found);
+    }
+    tell(settled);
+}
+
+// Of a message that ends without a notice; one that is out leaves with its verdict.
+void Dispatcher::leave_turn(const Owed& m) {
+    if (m.order_key != 0 && !m.flying) turns_.leave(m.order_key, m.id);
+}
+
+// Where the attempt may still run.
+void Dispatcher::rest_turn(const Owed& m, const Verdict& v) {
+    const bool unsure = v.result == Result::timeout || v.result == Result::reset ||
+                        v.result == Result::cancelled || v.result == Result::spoilt;
+    if (m.order_key != 0 && unsure) turns_.rest(m.order_key, now_ + settings_.turn_gap_ms);
+}
+
+// By this side's own account of the key. A place in it that nobody has any more is given up, and counted.
+bool Dispatcher::has_turn(const Owed& m) {
+    if (m.order_key == 0) return true;
+    turns_.forget_rested(now_);
+    for (auto front = turns_.front(m.order_key); front && *front != m.id; front = turns_.front(m.order_key)) {
+        if (ledger_.find(*front) != nullptr || open_ends_.count(*front) != 0) return false;
+        ++counts_.stale_turns;
+        turns_.leave(m.order_key, *front);
+    }
+    return m.attempts > 0 || now_ >= turns_.rests_until(m.order_key);
+}
+
+policy::Barrier Dispatcher::barrier_of(const Owed& m, const Attempt& attempt) {
+    const auto host = hosts_.find(attempt.endpoint.address);
+    policy::AttemptFacts facts;
+    facts.over = m.ending != Ending::none;
+    facts.out = m.flying;
+    facts.number = attempt.number;
+    facts.most_attempts = settings_.max_attempts;
+    facts.host_known = host != hosts_.end();
+    facts.right_destination = facts.host_known && host->second.destination == m.destination;
+    facts.may_have_run = m.may_have_run;
+    facts.first_risky = m.risky_wall - wall_offset_;
+    facts.same_zone = facts.host_known && host->second.zone == m.risky_zone;
+    facts.has_turn = has_turn(m);
+    facts.now = now_;
+    return policy::before_attempt(settings_.classes[m.message_class], facts);
+}
+
+// The module would have had a rule broken: withheld, counted, and told with what led to it.
+void Dispatcher::tell_violation(const Owed& m, policy::Barrier barrier) {
+    const auto name = policy::name_of(barrier);
+    runtime::log("rules", "message %s (%llu) was withheld: %.*s", m.name.c_str(),
+                 static_cast<unsigned long long>(m.id), static_cast<int>(name.size()), name.data());
+    for (const auto& line : events_.about(m.id)) runtime::log("rules", "  %s", line.c_str());
+    const auto front = m.order_key == 0 ? std::nullopt : turns_.front(m.order_key);
+    if (!front || *front == m.id) return;
+    for (const auto& line : events_.about(*front)) runtime::log("rules", "  %s", line.c_str());
 }
 
 // A call that was given up for one of its messages, whose time was up, has ended for the others too.
@@ -443,43 +515,61 @@
 void Dispatcher::on(const Verdict& v) {
     if (flying_ > 0) --flying_;
     landed(v.id, v.attempt);
-    ++counts_.attempts[static_cast<std::size_t>(v.result)];
+    ++(v.unsent ? counts_.unsent : counts_.attempts[static_cast<std::size_t>(v.result)]);
     Outcome outcome;
     outcome.id = v.id;
     outcome.endpoint = v.host;
     outcome.attempt = v.attempt;
+    outcome.unsent = v.unsent;
     outcome.result = v.result;
     outcome.elapsed_ms = v.elapsed_ms;
     outcome.wait_ms = v.wait_ms;
     outcome.report = v.report;
-    outcome.over = true;
-    if (auto* const m = ledger_.find(v.id); m != nullptr) {
-        outcome.over = m->ending != Ending::none || v.over || v.result == Result::ok;
-        events_.note({now_, Step::landed, v.id, m->name, name_of(v.result), v.host, v.attempt, v.wait_ms});
-        if (observer_ != nullptr) observer_->landed(now_, *m, v);
-        if (v.still_out) {
-            hold_turn(*m, &OpenEnd::call);
-            hold_turn(*m, &OpenEnd::rests);
-        }
-        ledger_.outcome(*m, v.result);
-        auto* const left = ledger_.find(v.id);
-        if (left != nullptr && outcome.over) {
-            let_go(v.id);  // nothing where it has ended before
-            if (left->ending == Ending::none) note(Step::ended, *left, name_of(Ending::done));
-            if (left->ending == Ending::none && v.result == Result::ok)
-                ++figures_[left->message_class].fulfilled;
-            if (observer_ != nullptr && left->ending == Ending::none)
-                observer_->ended(now_, *left, Ending::done, 0);
-            ledger_.end(*left, Ending::done, 0);
-        } else if (left != nullptr && gate_ && !left->flying &&
-                   gate_->spent(subject_of(*left), left->attempts)) {
-            give_up(*left, plan::Gate::spent_pause_ms);
-            outcome.over = true;
-        }
-    }
+    auto* const m = ledger_.find(v.id);
+    outcome.over = m == nullptr || take_verdict(*m, v);
     outcome.unsettled = open_ends_.count(v.id) != 0;
     tell(outcome);
-    if (outcome.over) return;
+    if (!outcome.over) note_sleep(v);
+}
+
+// Whether the message is over with it.
+bool Dispatcher::take_verdict(Owed& m, const Verdict& v) {
+    const auto order_key = m.order_key;
+    bool over = m.ending != Ending::none || v.over || v.result == Result::ok;
+    events_.note({now_, Step::landed, v.id, m.name, name_of(v.result), v.host, v.attempt, v.wait_ms});
+    if (observer_ != nullptr) observer_->landed(now_, m, v);
+    rest_turn(m, v);
+    if (v.still_out) {
+        hold_turn(m, &OpenEnd::call);
+        hold_turn(m, &OpenEnd::rests);
+    }
+    if (!v.unsent)
+        ledger_.outcome(m, v.result);
+    else if (m.flying)
+        ledger_.unsent(m, v.attempt);
+    auto* const left = ledger_.find(v.id);
+    if (left != nullptr && over) {
+        end_delivered(*left, v);
+    } else if (left != nullptr && gate_ && !left->flying && gate_->spent(subject_of(*left), left->attempts)) {
+        give_up(*left, plan::Gate::spent_pause_ms);
+        over = true;
+    }
+    if (over && order_key != 0 && open_ends_.count(v.id) == 0) turns_.leave(order_key, v.id);
+    return over;
+}
+
+// Nothing is told of one that has ended before.
+void Dispatcher::end_delivered(Owed& m, const Verdict& v) {
+    let_go(v.id);
+    if (m.ending == Ending::none) {
+        note(Step::ended, m, name_of(Ending::done));
+        if (v.result == Result::ok) ++figures_[m.message_class].fulfilled;
+        if (observer_ != nullptr) observer_->ended(now_, m, Ending::done, 0);
+    }
+    ledger_.end(m, Ending::done, 0);
+}
+
+void Dispatcher::note_sleep(const Verdict& v) {
     const Time until = sender_.sleeps_until(v.id);
     if (until > now_)
         events_.note({now_, Step::sleeps, v.id, {}, name_of(v.result), v.host, v.attempt, until - now_});
@@ -513,15 +603,15 @@
 
 void Dispatcher::on(const Stop& stop) { tell(Stopping{stop.at}); }
 
-void Dispatcher::not_sent(const Attempt& attempt, int number, bool over, std::string_view why) {
+void Dispatcher::not_sent(const Attempt& attempt, bool over, std::string_view why) {
     ++flying_;
-    ++counts_.unsent;
-    events_.note({now_, Step::unsent, attempt.id, {}, why, attempt.endpoint, number});
+    events_.note({now_, Step::unsent, attempt.id, {}, why, attempt.endpoint, attempt.number});
     Verdict verdict;
     verdict.id = attempt.id;
     verdict.host = attempt.endpoint;
-    verdict.attempt = number;
+    verdict.attempt = attempt.number;
     verdict.result = Result::moot;
+    verdict.unsent = true;
     verdict.over = over;
     mailbox_.put(verdict);
 }
@@ -529,22 +619,23 @@
 void Dispatcher::not_sent(const Attempt& attempt) {
     const auto* const m = ledger_.find(attempt.id);
     const bool over = m == nullptr || m->ending != Ending::none;
-    not_sent(attempt, m == nullptr ? 0 : m->attempts, over, over ? "over" : "no_room_in_time");
+    not_sent(attempt, over, over ? "over" : "no_room_in_time");
 }
 
 void Dispatcher::do_action(const Attempt& attempt) {
     auto* const m = ledger_.find(attempt.id);
     if (m == nullptr || m->ending != Ending::none) return not_sent(attempt);
-    const auto host = hosts_.find(attempt.endpoint.address);
-    const int number = m->attempts;
-    const bool permitted = !m->flying && host != hosts_.end() && host->second.destination == m->destination &&
-                           number < settings_.max_attempts;
-    if (!permitted) return not_sent(attempt, number, false, "not_permitted");
+    const auto barrier = barrier_of(*m, attempt);
+    if (barrier != policy::Barrier::none) {
+        ++counts_.withheld[static_cast<std::size_t>(barrier)];
+        if (policy::breaks_a_rule(barrier)) tell_violation(*m, barrier);
+        return not_sent(attempt, barrier == policy::Barrier::over, policy::name_of(barrier));
+    }
     if (!gate_) return send(attempt, nullptr);
-    auto permit = gate_->permit(now_, subject_of(*m), number);
+    auto permit = gate_->permit(now_, subject_of(*m), attempt.number);
     if (permit.pause_ms <= 0) return send(attempt, std::move(permit.pool));
     give_up(*m, permit.pause_ms);
-    not_sent(attempt, number, true, "policy");
+    not_sent(attempt, true, "policy");
 }
 
 void Dispatcher::let_go(MessageId id) {
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -18,6 +18,8 @@
 #include "dispatch/observer.hpp"
 #include "dispatch/types.hpp"
 #include "plan/gate.hpp"
+#include "policy/key_turns.hpp"
+#include "policy/send_rules.hpp"
 #include "runtime/mailbox.hpp"
 
 namespace brasslift::dispatch {
@@ -26,6 +28,7 @@
 
 // What still keeps the next message of its key from its turn after a message has ended.
 struct OpenEnd {
+    std::uint64_t order_key = 0;
     bool notice = false;  // its client is still to be told
     bool call = false;    // a call that it shared is still out
     bool rests = false;   // the key rests once that call has ended
@@ -40,6 +43,7 @@
     bool list_heard = false;
     std::uint64_t flying = 0;
     std::map<MessageId, OpenEnd> open_ends;
+    policy::KeyTurns turns;
     std::string module;
 };
 
@@ -172,7 +176,7 @@
     void landed(MessageId id, int attempt);
     void unpark(const Route& route);
     void expire_parked();
-    void not_sent(const Attempt& attempt, int number, bool over, std::string_view why);
+    void not_sent(const Attempt& attempt, bool over, std::string_view why);
     void when_durable(std::function<void(bool)> act);
     void release_durable();
     void hand_over(Call call);
@@ -182,7 +186,15 @@
     std::uint64_t order_key_of(const Submission& submission) const;
     void hold_turn(const Owed& message, bool OpenEnd::*because);
     void let_turn_go(MessageId id, bool OpenEnd::*because);
+    bool take_verdict(Owed& message, const Verdict& verdict);
+    void end_delivered(Owed& message, const Verdict& verdict);
+    void note_sleep(const Verdict& verdict);
     void settle(MessageId id);
+    void leave_turn(const Owed& message);
+    void rest_turn(const Owed& message, const Verdict& verdict);
+    bool has_turn(const Owed& message);
+    policy::Barrier barrier_of(const Owed& message, const Attempt& attempt);
+    void tell_violation(const Owed& message, policy::Barrier barrier);
     void end_as_decided(MessageId id, Ending ending, double again_ms);
 
     runtime::Scheduler& scheduler_;
@@ -210,6 +222,7 @@
     std::set<std::string> coming_;                      // the ids of the candidates
     std::unordered_map<std::string, std::size_t> ids_;  // taken on of late, with their prints
     std::deque<std::pair<Time, std::string>> remembered_;
+    policy::KeyTurns turns_;                  // as this side knows them, beside the module
     std::map<MessageId, OpenEnd> open_ends_;  // of ended messages with an order key
     std::set<MessageId> withdrawn_;  // not taken on after the module had seen them; in this turn only
     std::map<Route, std::deque<Call>> calls_;
--- a/src/dispatch/figures.hpp
+++ b/src/dispatch/figures.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "dispatch/observer.hpp"
+#include "policy/send_rules.hpp"
 
 namespace brasslift::dispatch {
 
@@ -24,6 +25,9 @@
 struct Counts {
     std::array<std::uint64_t, refusals> refused{};
     std::array<std::uint64_t, results> attempts{};
+    // Attempts that were withheld before they were recorded, by why; see policy::breaks_a_rule.
+    std::array<std::uint64_t, policy::barriers> withheld{};
+    std::uint64_t stale_turns = 0;        // of keys, kept by a message that is no longer known
     std::uint64_t unsent = 0;             // attempts that did not leave this process
     std::uint64_t retried = 0;            // attempts that were not a message's first
     std::uint64_t restored = 0;           // messages of earlier processes
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -51,6 +51,8 @@
 
 bool Ledger::recover(const store::Report& found, bool adopted) {
     messages_ = owed_in(store_);
+    names_.clear();
+    held_ = 0;
     const auto unreadable = [&](std::string_view key) {
         runtime::log("store", "a record of message %llu cannot be read",
                      static_cast<unsigned long long>(store::number_of(key).value_or(0)));
@@ -212,9 +214,9 @@
     return &messages_.insert_or_assign(id, std::move(message)).first->second;
 }
 
-bool Ledger::attempt(Owed& m, double wall, std::uint16_t zone) {
+bool Ledger::attempt(Owed& m, int number, double wall, std::uint16_t zone) {
     auto next = m;
-    ++next.attempts;
+    next.attempts = number + 1;
     next.flying = true;
     next.sent_wall = wall;
     next.sent_zone = zone;
@@ -232,6 +234,13 @@
     write_surely(m.id, state_of(m));
 }
 
+void Ledger::unsent(Owed& m, int number) {
+    m.flying = false;
+    m.attempts = number;
+    if (m.ending != Ending::none) return drop_if_over(m.id);
+    write_surely(m.id, state_of(m));
+}
+
 void Ledger::end(Owed& m, Ending ending, std::uint32_t again_ms) {
     if (m.ending != Ending::none) return;
     m.ending = ending;
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -28,8 +28,11 @@
 
     // Nothing where the store has no room for it, or wrote nothing. `print`: tells the same request again.
     Owed* take(Owed message, std::uint64_t print);
-    bool attempt(Owed& message, double wall, std::uint16_t zone);
+    // Its attempt of that number, from 0, is about to go. False: there is no record of it, and it may not.
+    bool attempt(Owed& message, int number, double wall, std::uint16_t zone);
     void outcome(Owed& message, Result result);
+    // That attempt did not leave this process after all, and counts no more.
+    void unsent(Owed& message, int number);
     void end(Owed& message, Ending ending, std::uint32_t again_ms);
     void told(MessageId id);
     // The message may be handed in anew under its id: it is as if it had never come.
@@ -50,6 +53,7 @@
         double wall = 0;
     };
     std::vector<SeenId> seen() const;
+    double wall_now() const { return wall_(); }
     // The version behind everything written so far.
     store::Version written() const { return store_.next(); }
 
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -19,6 +19,7 @@
     state.list_heard = list_heard_;
     state.flying = flying_;
     state.open_ends = open_ends_;
+    state.turns = turns_;
     state.module = sender_.save();
     return state;
 }
@@ -33,6 +34,7 @@
     list_heard_ = state.list_heard;
     flying_ = state.flying;
     open_ends_ = state.open_ends;
+    turns_ = state.turns;
     return sender_.load(state.module);
 }
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -88,6 +88,7 @@
     bool over = false;  // the destination says that nothing more is owed
     // Its message's time is up, but the call that it shares is still out: a CallEnded follows.
     bool still_out = false;
+    bool unsent = false;  // nothing of it left this process: it does not count as an attempt
     double elapsed_ms = 0, wait_ms = 0;
     Report report;
     // For whoever watches: where it was sent, how far it came, the answer's status (0: none) and how many
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t most_turned_away = 16;
 constexpr double turn_away_ms = 300;
 constexpr double accept_pause_ms = 20;
+constexpr double last_accepts_ms = 1500;  // for what waits in the queue once no more is listened for
 constexpr double crowd_pause_ms = 500;
 constexpr std::size_t most_name = 128, most_linger = 256 * 1024;
 constexpr double most_deadline_ms = 24 * 3600 * 1000.0;
@@ -155,17 +156,18 @@
     return listener.has_value();
 }
 
-// Whoever has connected by now is served: a close would reset those that wait in the queue.
+// Whoever has connected by now is served: a close would reset those that wait in the queue. The listener's
+// actor closes it once the queue is empty.
 void Server::stop_listening() {
-    for (runtime::Descriptor fd; listener_ && runtime::accept_from(listener_, fd) == runtime::Accepted::one;)
-        take(std::move(fd));
-    listener_.close();
+    last_accepts_until_ = scheduler_.now() + last_accepts_ms;
     waker_.notify();
 }
 
 runtime::Task<void> Server::run() {
     int accepted = 0;
     while (listener_) {
+        if (scheduler_.now() >= last_accepts_until_) listener_.close();
+        if (!listener_) break;
         if (paused_) {
             co_await waker_.wait();
             continue;
@@ -177,13 +179,22 @@
                 if (++accepted % accepts_in_a_row == 0)  // a storm of them must not hold the others up
                     co_await waker_.wait(scheduler_.now());
                 break;
-            case runtime::Accepted::none: co_await waker_.wait(); break;
+            case runtime::Accepted::none:
+                if (last_accepts_until_ < runtime::never)
+                    listener_.close();
+                else
+                    co_await waker_.wait();
+                break;
             case runtime::Accepted::no_room:
                 // Out of descriptors: another client makes room, else the queue waits a moment.
                 runtime::log("downstream", "no descriptor is left for a connection");
                 if (!make_room())
                     co_await runtime::sleep_until(scheduler_, scheduler_.now() + accept_pause_ms);
                 break;
+            case runtime::Accepted::trouble:
+                ++accepts_failed_;
+                co_await runtime::sleep_until(scheduler_, scheduler_.now() + accept_pause_ms);
+                break;
         }
     }
 }
@@ -252,8 +263,8 @@
         for (const auto& c : connections_)
             if (rank_of(*c) < 4 && (first == nullptr || order(*c) < order(*first))) first = c.get();
         if (first == nullptr) return false;
-        if (!first->parser.started() && first->socket.readable() && !first->socket.news_of_end()) {
-            first->since = scheduler_.now();  // its request is just coming
+        if (first->socket.readable() && !first->socket.news_of_end()) {
+            first->since = first->heard = scheduler_.now();  // its request is just coming
             continue;
         }
         evict(*first);
@@ -264,6 +275,11 @@
 
 // At once, not when its actor runs: the descriptor is needed now.
 void Server::evict(Connection& c) {
+    // Whoever waits for an answer is never shut out; rank_of and drains say so before.
+    if (c.busy) {
+        ++unanswered_;
+        return runtime::log("rules", "a connection that waits for its answer was to be closed: it stays");
+    }
     if (c.parser.started()) {
         c.socket.write(reply(408, true));
         c.socket.end_sending();
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -84,6 +84,10 @@
     bool adopt(const ServerState& state, state::Luggage& luggage);
     void close_idle();
     std::size_t open() const { return open_; }
+    // Times that accept failed for the system's trouble.
+    std::uint64_t accepts_failed() const { return accepts_failed_; }
+    // Connections that were to be closed while they waited for an answer; none was.
+    std::uint64_t unanswered() const { return unanswered_; }
     // Connections that have ended, by why.
     const std::array<std::uint64_t, closed_by_count>& closed() const { return closed_; }
 
@@ -115,11 +119,13 @@
     const lifecycle::Lifecycle& lifecycle_;
     runtime::Waker waker_;
     runtime::Socket listener_;
+    runtime::Time last_accepts_until_ = runtime::never;  // never: it listens on
     std::list<std::shared_ptr<Connection>> connections_;
     Submit submit_;
     std::function<void(MessageId)> untold_;
     std::function<void(std::size_t)> turned_away_;
     std::array<std::uint64_t, closed_by_count> closed_{};
+    std::uint64_t accepts_failed_ = 0, unanswered_ = 0;
     std::size_t open_ = 0, held_ = 0, turning_away_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
     bool traced_ = false, closing_drained_ = false, paused_ = false;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "lab/capacity.hpp"
 #include "lab/fleet.hpp"
 #include "lab/scale_command.hpp"
+#include "lab/soak.hpp"
 
 namespace {
 
@@ -72,6 +73,28 @@
     return broken == 0 ? 0 : 1;
 }
 
+// Soaks one after the other, with a line each.
+int soak(SoakPlan plan, std::uint64_t first, std::uint64_t last) {
+    std::size_t broken = 0;
+    for (plan.seed = first; plan.seed <= last; ++plan.seed) {
+        const auto end = Soak(plan).play();
+        const auto& f = end.figures;
+        std::printf(
+            "seed %llu: %zu handed in, %zu taken, %zu delivered, %zu notices, %zu unanswered, %zu calls, "
+            "%zu of them ordered;",
+            static_cast<unsigned long long>(plan.seed), f.handed_in, f.taken, f.delivered, f.notices,
+            f.unanswered, f.calls, f.ordered_calls);
+        for (const auto& [kind, count] : end.faults) std::printf(" %s %d", kind.c_str(), count);
+        std::printf("%s\n", end.broken.empty() ? "" : "; BROKEN");
+        for (const auto& rule : end.broken) std::printf("  %s\n", rule.c_str());
+        std::fflush(stdout);
+        broken += end.broken.empty() ? 0 : 1;
+    }
+    std::printf("%llu runs: %zu with a broken rule\n", static_cast<unsigned long long>(last - first + 1),
+                broken);
+    return broken == 0 ? 0 : 1;
+}
+
 // A minute with a kill and a cut, and a table of what each dispatcher does.
 int demo(FleetPlan plan, double seconds) {
     plan.fault_every_ms = 0;
@@ -203,7 +226,7 @@
 int main(int argc, char** argv) {
     cxxopts::Options options("brasslift-lab",
                              "Starts real dispatchers on loopback and throws faults between them.");
-    options.positional_help("campaign | demo | measure | scale AXIS | capacity");
+    options.positional_help("campaign | demo | measure | soak | scale AXIS | capacity");
     options.add_options()("h,help", "print this text")("command", "",
                                                        cxxopts::value<std::string>()->default_value(""))(
         "program", "the dispatcher (else the one beside this program)",
@@ -228,6 +251,9 @@
         cxxopts::value<std::string>()->default_value(""))(
         "commit", "of scale: the commit of the program, for the record",
         cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("only", "of soak: the one kind of fault that comes",
+                          cxxopts::value<std::string>()->default_value(""))(
+        "keep", "of soak: the folder stays, with logs and events");
     options.add_options()("size", "of capacity: the size file",
                           cxxopts::value<std::string>()->default_value("deploy/size.textproto"))(
         "results", "of capacity: the folder of the runs' results",
@@ -267,6 +293,17 @@
             const auto page = capacity_page(read_size(given["size"].as<std::string>()), results);
             return std::fwrite(page.data(), 1, page.size(), stdout) == page.size() ? 0 : 1;
         }
+        if (command == "soak") {
+            SoakPlan soaked;
+            soaked.program = plan.program;
+            const auto beside = std::filesystem::path(plan.program).parent_path();
+            soaked.shim = (beside / "libbrasslift_faults.so").string();
+            soaked.faults_ms = seconds * 1000;
+            soaked.only = given["only"].as<std::string>();
+            soaked.keep_folder = given.count("keep") > 0;
+            if (given.count("dispatchers") > 0) soaked.dispatchers = plan.dispatchers;
+            return soak(soaked, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
+        }
         const bool fits = plan.dispatchers >= 3 && plan.dispatchers <= 25 && plan.voters <= plan.dispatchers;
         if (fits && command == "campaign")
             return campaign(plan, given["first"].as<std::uint64_t>(), given["last"].as<std::uint64_t>());
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -21,9 +21,10 @@
     int workers = 8, send_cap = 4, most_held = 20, sockets = 256, instances = 3;
     double disk_mb = 3;
     std::string name = "n1";
-    bool has_coop = true;      // the third tenant
-    bool reports = false;      // answers carry x0 and x1, and the list has no weights
-    bool has_ordered = false;  // a fourth class, `ordered`: as payment, and in order for each key
+    bool has_coop = true;            // the third tenant
+    bool reports = false;            // answers carry x0 and x1, and the list has no weights
+    double repeat_window_ms = 5000;  // of the class keyed
+    bool has_ordered = false;        // a fourth class, `ordered`: as payment, and in order for each key
 };
 
 // Classes safe, keyed and payment; tenants acme, bolt and coop.
--- /dev/null
+++ b/src/lab/soak.hpp
@@ -0,0 +1,118 @@
+// A soak: a few dozen real dispatchers, each alone, with endpoints, clients and discovery of this rig's own
+// on loopback, under random faults that overlap, by a seed: endpoints that hang, reset, refuse, tell waits
+// and spoil answers; kills, restarts, stops and reloads; drains; discovery that is silent; system calls that
+// fail, disks that are full, steps of the wall clock and holds (fault_shim). SoakAccount judges. One thread.
+// Errors: throws std::runtime_error where the rig itself cannot work; what dispatchers do wrong is in the
+// end.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/fault_board.hpp"
+#include "lab/peers.hpp"
+#include "lab/process.hpp"
+#include "lab/soak_account.hpp"
+#include "lab/soak_endpoint.hpp"
+
+namespace brasslift::lab {
+
+struct SoakPlan {
+    std::string program, shim;  // the dispatcher, and the shared library of faults; empty: no such faults
+    std::uint64_t seed = 1;
+    int dispatchers = 24, destinations = 6;
+    double faults_ms = 8000;      // faults come for so long, then all is healed
+    double settle_ms = 14000;     // at most, until every message has its end
+    double fault_every_ms = 120;  // in the mean
+    double client_every_ms = 60;  // of each dispatcher, in the mean
+    double deadline_ms = 6000;    // of the longest-lived messages
+    SoakTerms terms;
+    std::string only;  // the one kind of fault that comes; empty: all
+    bool keep_folder = false;
+};
+
+struct SoakEnd {
+    std::vector<std::string> broken;
+    SoakAccount::Figures figures;
+    std::map<std::string, int> faults;  // by kind
+    std::size_t violations_told = 0;    // that dispatchers counted themselves
+    std::string folder;
+};
+
+class Soak {
+public:
+    explicit Soak(const SoakPlan& plan);
+    ~Soak();
+    Soak(const Soak&) = delete;
+    Soak& operator=(const Soak&) = delete;
+    SoakEnd play();
+
+private:
+    struct One;  // a dispatcher with its folder, board and agents of discovery
+    struct Entry {
+        std::uint32_t rev;
+        int endpoint;
+        std::string state;
+    };
+    using Act = void (Soak::*)();
+    struct Kind {
+        const char* name;
+        int weight;
+        Act act;
+    };
+    static const std::vector<Kind>& kinds();
+
+    void write_config(One& one);
+    void start(One& one);
+    runtime::Task<void> await_ready(One& one);
+    runtime::Task<void> client(One& one);
+    runtime::Task<void> hand_in(One& one, SoakAccount::Message message, std::string request);
+    runtime::Task<void> kill_and_start(One& one);
+    runtime::Task<void> term_and_start(One& one);
+    runtime::Task<void> stop_for(One& one, double ms);
+    runtime::Task<void> after(double ms, std::function<void()> act);
+    runtime::Task<void> watch_processes();
+    Party::Reply discovery(One& one, const http::Message& request);
+    void list(int endpoint, const std::string& state);
+    std::string entry_of(const Entry& entry) const;
+    std::uint64_t violations_of(One& one);
+    void tell_log_of(const One& one, const std::string& rule);
+    void heal();
+
+    void trouble_an_endpoint();
+    void kill_one();
+    void term_one();
+    void stop_one();
+    void reload_one();
+    void drain_one();
+    void silence_discovery();
+    void fail_a_disk();
+    void fail_connections();
+    void fail_streams();
+    void step_a_clock();
+    void hold_one();
+
+    One& any();
+    double between(double low, double high);
+    double now() const { return runtime::steady_now() - begun_; }
+
+    SoakPlan plan_;
+    std::mt19937_64 random_;
+    std::string folder_;
+    runtime::Scheduler scheduler_;
+    double begun_ = 0;
+    SoakAccount account_;
+    std::deque<SoakEndpoint> endpoints_;
+    std::vector<Entry> entries_;  // of the list, in the order of versions
+    std::uint32_t rev_ = 1;
+    std::vector<std::unique_ptr<One>> all_;
+    SoakEnd end_;
+    bool clients_on_ = true, ending_ = false;
+    int next_message_ = 0;
+};
+
+}  // namespace brasslift::lab
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -14,6 +14,12 @@
 
 namespace brasslift::runtime {
 
+namespace {
+
+constexpr double nudge_ms = 5;
+
+}  // namespace
+
 Time steady_now() {
     using namespace std::chrono;
     return duration<double, std::milli>(steady_clock::now().time_since_epoch()).count();
@@ -102,6 +108,8 @@
     return id;
 }
 
+void Scheduler::nudge(std::uint64_t watch) { nudges_.emplace_back(steady_now() + nudge_ms, watch); }
+
 void Scheduler::run_ready() {
     while (!ready_.empty()) {
         Waker* const next = ready_.front();
@@ -111,6 +119,9 @@
 }
 
 void Scheduler::fire_timers() {
+    for (; !nudges_.empty() && nudges_.front().first <= now_; nudges_.pop_front())
+        if (const auto found = watches_.find(nudges_.front().second); found != watches_.end())
+            found->second->notify();
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         Waker* const due = timers_.begin()->second;
         timers_.erase(timers_.begin());
@@ -123,7 +134,8 @@
     run_ready();
     if (stopped_) return;
     now_ = steady_now();
-    const Time next = std::min(until, timers_.empty() ? never : timers_.begin()->first);
+    const Time next = std::min({until, timers_.empty() ? never : timers_.begin()->first,
+                                nudges_.empty() ? never : nudges_.front().first});
     const int timeout = next == never ? -1 : static_cast<int>(std::clamp(std::ceil(next - now_), 0.0, 6e4));
     std::array<epoll_event, 128> events;
     const int count = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), timeout);
--- a/src/runtime/scheduler.hpp
+++ b/src/runtime/scheduler.hpp
@@ -76,6 +76,9 @@
     std::uint64_t watch(int fd, Waker& waker);
     void rebind(std::uint64_t watch, Waker& waker) { watches_[watch] = &waker; }
     void unwatch(std::uint64_t watch) { watches_.erase(watch); }
+    // Tells whoever watches it in a moment, though the descriptor has no news: a call on it failed in
+    // passing.
+    void nudge(std::uint64_t watch);
 
 private:
     friend class Waker;
@@ -92,6 +95,7 @@
     std::unordered_map<std::uint64_t, Waker*> watches_;
     std::deque<Waker*> ready_;
     std::set<std::pair<Time, Waker*>> timers_;
+    std::deque<std::pair<Time, std::uint64_t>> nudges_;  // in the order of their times
     std::unordered_set<void*> roots_;
 };
 
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int backlog = 511;
+constexpr int accept_tries = 16;  // in a row that bring nothing
 
 sockaddr_in native(Address address) {
     sockaddr_in to{};
@@ -22,8 +23,41 @@
     return to;
 }
 
-bool out_of_descriptors() {
-    return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+// Of this system, and over in a moment: the connection itself is as it was.
+bool passes(int error) { return error == ENOBUFS || error == ENOMEM; }
+
+// Of this system or process, whoever is at the other end.
+bool local_trouble(int error) {
+    switch (error) {
+        case EMFILE:
+        case ENFILE:
+        case ENOBUFS:
+        case ENOMEM:
+        case EADDRNOTAVAIL:
+        case EAGAIN:
+        case EPERM:
+        case EACCES: return true;
+        default: return false;
+    }
+}
+
+// What accept may bring that ends one connection before it was taken; the next one is not touched by it.
+bool of_one_connection(int error) {
+    switch (error) {
+        case ECONNABORTED:
+        case EINTR:
+        case EPROTO:
+        case ENOPROTOOPT:
+        case ENETDOWN:
+        case ENETUNREACH:
+        case ENONET:
+        case EHOSTDOWN:
+        case EHOSTUNREACH:
+        case EOPNOTSUPP:
+        case ETIMEDOUT:
+        case EPERM: return true;
+        default: return false;
+    }
 }
 
 Descriptor make_socket() {
@@ -84,22 +118,32 @@
         if (got > 0) return {Io::done, static_cast<std::size_t>(got)};
         if (got == 0) return {Io::ended, 0};
         if (errno == EINTR) continue;
-        return {errno == EAGAIN ? Io::blocked : Io::failed, 0};
+        return {state_after(errno), 0};
     }
 }
 
+// Of a call that failed. One that fails in passing is tried again in a moment: no event will say so.
+Io Socket::state_after(int error) {
+    if (error == EAGAIN) return Io::blocked;
+    if (!passes(error)) return Io::failed;
+    scheduler_->nudge(watch_);
+    return Io::blocked;
+}
+
 Transfer Socket::write(std::string_view bytes) {
     for (;;) {
         const auto put = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (put >= 0) return {Io::done, static_cast<std::size_t>(put)};
         if (errno == EINTR) continue;
-        return {errno == EAGAIN ? Io::blocked : Io::failed, 0};
+        return {state_after(errno), 0};
     }
 }
 
 Io Socket::connected() {
     pollfd state{fd_.get(), POLLOUT, 0};
-    if (::poll(&state, 1, 0) == 0) return Io::blocked;
+    const int ready = ::poll(&state, 1, 0);
+    if (ready < 0) scheduler_->nudge(watch_);
+    if (ready <= 0) return Io::blocked;
     int error = 0;
     socklen_t size = sizeof error;
     if (::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) return Io::failed;
@@ -109,13 +153,13 @@
 bool Socket::news_of_end() const {
     char byte;
     const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR && !passes(errno));
 }
 
 bool Socket::readable() const {
     char byte;
     const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EINTR);
+    return got >= 0 || (errno != EAGAIN && errno != EINTR && !passes(errno));
 }
 
 void Socket::end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
@@ -133,17 +177,26 @@
     return socket;
 }
 
-std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker, bool* starved) {
+std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker, Dialled* how) {
+    Dialled unheard;
+    auto& dialled = how == nullptr ? unheard : *how;
+    dialled = Dialled::begun;
     auto fd = make_socket();
     if (!fd) {
-        if (starved != nullptr) *starved = out_of_descriptors();
+        dialled = errno == EMFILE ? Dialled::no_descriptor : Dialled::local_trouble;
         return std::nullopt;
     }
     const auto to = native(address);
-    if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS)
+    // Interrupted, it goes on by itself.
+    if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS &&
+        errno != EINTR) {
+        dialled = local_trouble(errno) ? Dialled::local_trouble : Dialled::refused;
         return std::nullopt;
+    }
+    dialled = Dialled::local_trouble;
     Socket socket(scheduler, std::move(fd), waker);
     if (!socket) return std::nullopt;
+    dialled = Dialled::begun;
     return socket;
 }
 
@@ -157,7 +210,7 @@
 }
 
 Accepted accept_from(const Socket& listener, Descriptor& into) {
-    for (;;) {
+    for (int tries = 0; tries < accept_tries; ++tries) {
         const int fd = ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) {
             const int on = 1;
@@ -165,9 +218,11 @@
             into = Descriptor(fd);
             return Accepted::one;
         }
-        if (errno == EINTR || errno == ECONNABORTED) continue;
-        return out_of_descriptors() ? Accepted::no_room : Accepted::none;
+        if (errno == EAGAIN) return Accepted::none;
+        if (errno == EMFILE) return Accepted::no_room;
+        if (!of_one_connection(errno)) return Accepted::trouble;
     }
+    return Accepted::trouble;
 }
 
 }  // namespace brasslift::runtime
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -49,6 +49,7 @@
     int fd() const { return fd_.get(); }
 
 private:
+    Io state_after(int error);
     Scheduler* scheduler_ = nullptr;
     Descriptor fd_;
     std::uint64_t watch_ = 0;
@@ -56,14 +57,17 @@
 
 // Nothing where no descriptor is left or the address cannot be had.
 std::optional<Socket> listen_on(Scheduler& scheduler, Address address, Waker& waker);
-// `starved` is set where it was this process that had no descriptor left.
-std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker,
-                                 bool* starved = nullptr);
+// How far a connect came at once. Trouble of this system (no descriptor, no memory, no local port) says
+// nothing of the other end and may be over in a moment; no_descriptor is this process's own limit.
+enum class Dialled { begun, refused, local_trouble, no_descriptor };
+std::optional<Socket> connect_to(Scheduler& scheduler, Address address, Waker& waker, Dialled* how = nullptr);
 
 // Waits for a connection on its way; `blocked` where it has not come up by then.
 Task<Io> come_up(Scheduler& scheduler, Socket& socket, Waker& waker, Time until);
 
-enum class Accepted { one, none, no_room };
+// no_room: this process has no descriptor left. trouble: the system's, or many connections that ended before
+// they were taken; some may wait, and no event will say so: to be tried again in a moment.
+enum class Accepted { one, none, no_room, trouble };
 Accepted accept_from(const Socket& listener, Descriptor& into);
 
 }  // namespace brasslift::runtime
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -18,6 +18,8 @@
 constexpr double take_on_ms = 600, dismiss_ms = 3100, last_call_ms = 3300, leave_ms = 3500, poll_ms = 20;
 // By then telemetry has had its last try, whatever became of it.
 constexpr double untold_ms = 3600;
+// A start that the system or the folder does not let through for a while is tried again for so long.
+constexpr double start_retry_ms = 25000, listen_retry_ms = 2000, start_pause_ms = 50;
 // The list in the config may be old: discovery's agent, on the same machine, has so long to add to it.
 constexpr double fresh_list_ms = 100;
 
@@ -85,8 +87,8 @@
       signals_(scheduler_, signalled_),
       files_(store::files_in(config_.state_folder)),
       store_(*files_, store_options(config_, plan_)),
-      ledger_(store_, runtime::wall_now),
-      keeper_(scheduler_, store_, *files_, sync_interval(plan_)),
+      ledger_(store_, [this] { return real_time_.now(); }),
+      keeper_(scheduler_, store_, *files_, sync_interval(plan_), [this] { return real_time_.now(); }),
       syncs_(keeper_),
       pool_(scheduler_, pool_settings(config_, bounds_of(plan_))),
       notices_(scheduler_, discovery_),
@@ -109,9 +111,8 @@
     connect_parts();
     open_admin();
     store::Report report;
-    stopped_ = !come_into_store(report);
+    stopped_ = !come_into_store(report) || !recover(report);
     if (stopped_) return;
-    recover(report);
     begin();
 }
 
@@ -135,16 +136,30 @@
     scheduler_.spawn(admin_.run());
 }
 
-// What outlasted the last process. What could not be read is told here.
-void Life::recover(const store::Report& report) {
+// Others have their turn at a start that has to be tried again. False: told to stop meanwhile.
+bool Life::wait_at_start(double ms) {
+    for (const Time until = runtime::steady_now() + ms; runtime::steady_now() < until;)
+        scheduler_.run_until(until);
+    const int signal = signals_.next();
+    return signal != SIGTERM && signal != SIGINT;
+}
+
+// What outlasted the last process. What could not be read is told here. A store that takes no records for a
+// while is tried again: what was taken on is owed. False: told to stop meanwhile.
+bool Life::recover(const store::Report& report) {
     for (const auto& finding : report.findings)
         runtime::log("store", "%s: %s (%llu bytes)",
                      finding.number == 0 ? "store" : store::segment_name(finding.number).c_str(),
                      finding.why.c_str(), static_cast<unsigned long long>(finding.bytes));
-    if (!ledger_.carry_over(*files_))
-        throw std::runtime_error("the journal cannot be carried over: " + store_.why());
-    if (!ledger_.recover(report, taken_ != nullptr))
-        throw std::runtime_error("the store takes no records: " + store_.why());
+    const Time give_up = runtime::steady_now() + start_retry_ms;
+    for (;;) {
+        real_time_.load(store_);
+        if (ledger_.carry_over(*files_) && ledger_.recover(report, taken_ != nullptr)) return true;
+        if (runtime::steady_now() >= give_up)
+            throw std::runtime_error("the store takes no records: " + store_.why());
+        runtime::log("store", "the start waits: the store takes no records: %s", store_.why().c_str());
+        if (!wait_at_start(start_pause_ms)) return false;
+    }
 }
 
 void Life::begin() {
@@ -170,7 +185,10 @@
 }
 
 void Life::start_anew() {
-    if (!server_.listen(listen_)) throw std::runtime_error("cannot listen on " + config_.listen);
+    for (const Time give_up = runtime::steady_now() + listen_retry_ms; !server_.listen(listen_);) {
+        if (runtime::steady_now() >= give_up) throw std::runtime_error("cannot listen on " + config_.listen);
+        scheduler_.run_until(runtime::steady_now() + start_pause_ms);
+    }
     auto first = cluster_.begin_with_known();
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
@@ -212,8 +230,8 @@
 
 std::string Life::figures() const {
     const auto of_members = membership_ ? membership_->figures() : std::string();
-    return of_members + admin::statsd({config_.classes, dispatcher_.figures(), dispatcher_.counts(),
-                                       server_.closed(), pool_.written(), ledger_.held(), cluster_.listed(),
+    return of_members + admin::statsd({config_.classes, dispatcher_.figures(), dispatcher_.counts(), server_,
+                                       pool_.withheld(), pool_.written(), ledger_.held(), cluster_.listed(),
                                        dispatcher_.avoided(), configs_taken_, configs_refused_});
 }
 
--- a/src/serve/life.hpp
+++ b/src/serve/life.hpp
@@ -13,6 +13,7 @@
 #include "config/config.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/ledger.hpp"
+#include "dispatch/real_time.hpp"
 #include "downstream/server.hpp"
 #include "handover/decide.hpp"
 #include "lifecycle/lifecycle.hpp"
@@ -58,7 +59,8 @@
 private:
     void connect_parts();
     void open_admin();
-    void recover(const store::Report& report);
+    bool recover(const store::Report& report);
+    bool wait_at_start(double ms);
     void begin();
     void start_anew();
     void resume();
@@ -82,6 +84,7 @@
     Signals signals_;  // from here on a signal waits until it can be served
     std::unique_ptr<store::Files> files_;
     store::Store store_;
+    dispatch::RealTime real_time_;
     dispatch::Ledger ledger_;
     store::Keeper keeper_;
     Syncs syncs_;
--- a/src/serve/moving.cpp
+++ b/src/serve/moving.cpp
@@ -15,6 +15,10 @@
 constexpr double take_ms = 1500, commit_ms = 1000;
 constexpr int settle_turns = 20;
 constexpr double ask_pause_ms = 20, lock_pause_ms = 2;
+// A folder that fails for a while is opened again for so long.
+constexpr double open_retry_ms = 25000, open_pause_ms = 100;
+// What still cannot be read by then is taken for damaged.
+constexpr double patient_ms = 3000;
 // Descriptors that each process needs beside what travels.
 constexpr std::size_t own_descriptors = 48;
 
@@ -32,10 +36,15 @@
 runtime::Task<void> Life::hear_successors() {
     for (;;) {
         runtime::Descriptor fd;
-        if (runtime::accept_from(heir_listener_, fd) != runtime::Accepted::one) {
+        const auto accepted = runtime::accept_from(heir_listener_, fd);
+        if (accepted == runtime::Accepted::none) {
             co_await heir_waker_.wait();
             continue;
         }
+        if (accepted != runtime::Accepted::one) {
+            co_await runtime::sleep_until(scheduler_, scheduler_.now() + ask_pause_ms);
+            continue;
+        }
         if (!handover::same_user(fd.get())) continue;
         heir_ = std::move(fd);
         scheduler_.stop();  // run() goes on with it, between two turns of the loop
@@ -142,12 +151,20 @@
 // Until the store is this process's, with or without what the one before gave. False: told to stop meanwhile.
 bool Life::come_into_store(store::Report& report) {
     bool asks = true, told = false;
+    const Time give_up = runtime::steady_now() + open_retry_ms;
+    const Time patient_until = runtime::steady_now() + patient_ms;
     for (;;) {
         auto asked = handover::Asked::nobody;
         if (asks && !taken_) asked = ask();
         if (taken_) asked = handover::Asked::taken;
-        const auto fault = store_.open(static_cast<store::Stamp>(runtime::wall_now()), report);
+        const auto fault = store_.open(static_cast<store::Stamp>(runtime::wall_now()), report,
+                                       runtime::steady_now() < patient_until);
         if (fault == store::Fault::none) return true;
+        if (fault == store::Fault::io && runtime::steady_now() < give_up) {
+            runtime::log("store", "the start waits: the store cannot be opened: %s", store_.why().c_str());
+            if (!wait_at_start(open_pause_ms)) return false;
+            continue;
+        }
         if (fault != store::Fault::locked)
             throw std::runtime_error("the store cannot be opened: " + store_.why());
         const auto next = handover::next_after(asked, true);
--- a/src/store/files.cpp
+++ b/src/store/files.cpp
@@ -16,6 +16,16 @@
 
 using runtime::Descriptor;
 
+// Repeats a call that a signal interrupted; its result, or less errno's number.
+template <class Call>
+int uninterrupted(Call call) {
+    for (;;) {
+        const int result = call();
+        if (result >= 0) return result;
+        if (errno != EINTR) return -errno;
+    }
+}
+
 class DiskFile : public File {
 public:
     explicit DiskFile(Descriptor fd) : fd_(std::move(fd)) {}
@@ -38,9 +48,11 @@
         }
     }
     int truncate(std::uint64_t size) override {
-        return ::ftruncate(fd_.get(), static_cast<off_t>(size)) == 0 ? 0 : -errno;
+        return uninterrupted([&] { return ::ftruncate(fd_.get(), static_cast<off_t>(size)); });
+    }
+    int sync() override {
+        return uninterrupted([&] { return ::fdatasync(fd_.get()); });
     }
-    int sync() override { return ::fdatasync(fd_.get()) == 0 ? 0 : -errno; }
 
 private:
     Descriptor fd_;
@@ -56,16 +68,18 @@
         const int flags = mode == Mode::read     ? O_RDONLY
                           : mode == Mode::append ? O_RDWR | O_APPEND
                                                  : O_RDWR | O_APPEND | O_CREAT | O_EXCL;
-        Descriptor fd(::openat(fd_.get(), name.c_str(), flags | O_CLOEXEC, 0600));
-        if (!fd) return -errno;
+        const int opened =
+            uninterrupted([&] { return ::openat(fd_.get(), name.c_str(), flags | O_CLOEXEC, 0600); });
+        if (opened < 0) return opened;
+        Descriptor fd(opened);
         into = std::make_unique<DiskFile>(std::move(fd));
         return 0;
     }
     int rename(const std::string& from, const std::string& to) override {
-        return ::renameat(fd_.get(), from.c_str(), fd_.get(), to.c_str()) == 0 ? 0 : -errno;
+        return uninterrupted([&] { return ::renameat(fd_.get(), from.c_str(), fd_.get(), to.c_str()); });
     }
     int remove(const std::string& name) override {
-        return ::unlinkat(fd_.get(), name.c_str(), 0) == 0 ? 0 : -errno;
+        return uninterrupted([&] { return ::unlinkat(fd_.get(), name.c_str(), 0); });
     }
     int list(std::vector<Entry>& into) override {
         if (!fd_) return -error_;
@@ -87,12 +101,18 @@
         ::closedir(entries);
         return 0;
     }
-    int sync_folder() override { return ::fsync(fd_.get()) == 0 ? 0 : -errno; }
+    int sync_folder() override {
+        return uninterrupted([&] { return ::fsync(fd_.get()); });
+    }
     int lock(const std::string& name) override {
         if (!fd_) return -error_;
-        Descriptor fd(::openat(fd_.get(), name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
-        if (!fd) return -errno;
-        if (::flock(fd.get(), LOCK_EX | LOCK_NB) != 0) return -errno;
+        if (lock_) return 0;  // held already: a start is tried again
+        const int opened = uninterrupted(
+            [&] { return ::openat(fd_.get(), name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600); });
+        if (opened < 0) return opened;
+        Descriptor fd(opened);
+        if (const int bad = uninterrupted([&] { return ::flock(fd.get(), LOCK_EX | LOCK_NB); }); bad < 0)
+            return bad;
         lock_ = std::move(fd);
         return 0;
     }
--- a/src/store/files.hpp
+++ b/src/store/files.hpp
@@ -37,7 +37,8 @@
     virtual int remove(const std::string& name) = 0;
     virtual int list(std::vector<Entry>& into) = 0;
     virtual int sync_folder() = 0;  // may be called on another thread
-    // Held until this object goes; a process that dies lets it go, so a file left behind locks nobody out.
+    // Held until this object goes, and asked for again without harm; a process that dies lets it go, so a
+    // file left behind locks nobody out.
     virtual int lock(const std::string& name) = 0;
 };
 
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -17,8 +17,14 @@
 
 }  // namespace
 
-Keeper::Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms)
-    : scheduler_(scheduler), waker_(scheduler), store_(store), files_(files), interval_(interval_ms) {
+Keeper::Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms,
+               std::function<double()> wall)
+    : scheduler_(scheduler),
+      waker_(scheduler),
+      store_(store),
+      files_(files),
+      interval_(interval_ms),
+      wall_(std::move(wall)) {
     store_.work_apart();
     if (store_.options().durability != Durability::none) start();
 }
@@ -98,7 +104,7 @@
 
 bool Keeper::slice() {
     const auto begun = runtime::steady_now();
-    const bool more = store_.step(static_cast<Stamp>(runtime::wall_now()), slice_);
+    const bool more = store_.step(static_cast<Stamp>(wall_()), slice_);
     slice_ = next_slice(slice_, runtime::steady_now() - begun);
     return more;
 }
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -17,7 +17,9 @@
 public:
     // `interval_ms`: between two syncs, where the store's durability is that; its thread starts only where
     // there is anything to sync.
-    Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms);
+    // `wall`: the clock of the store's stamps, milliseconds of the Unix epoch.
+    Keeper(runtime::Scheduler& scheduler, Store& store, Files& files, double interval_ms,
+           std::function<double()> wall);
     ~Keeper();
     Keeper(const Keeper&) = delete;
     Keeper& operator=(const Keeper&) = delete;
@@ -42,6 +44,7 @@
     Store& store_;
     Files& files_;
     double interval_;
+    std::function<double()> wall_;
     std::uint64_t slice_ = first_slice;  // bytes
     std::function<void()> synced_;
     runtime::Time last_sync_ = 0;
--- a/src/store/recover.cpp
+++ b/src/store/recover.cpp
@@ -18,7 +18,27 @@
 
 }  // namespace
 
-Fault Store::open(Stamp now, Report& report) {
+// Nothing of a start that failed stays for the next try.
+void Store::forget_start() {
+    index_ = Index(options_.keyspaces);
+    segments_.clear();
+    shadows_.clear();
+    dirty_.clear();
+    leaving_.clear();
+    removing_.clear();
+    id_ = generation_ = 0;
+    next_number_ = 1;
+    next_ = durable_ = 1;
+    size_ = others_ = puts_ = erases_ = 0;
+    settled_ = true;
+    unsound_tail_ = folder_dirty_ = manifest_due_ = job_out_ = false;
+    suspect_below_.reset();
+}
+
+Fault Store::open(Stamp now, Report& report, bool patient) {
+    patient_ = patient;
+    forget_start();
+    report = {};
     opened_ = now;
     if (!options_.read_only) {
         const int bad = files_.lock(lock_name);
@@ -41,7 +61,7 @@
         return fail(Fault::io, std::string("the folder cannot be read: ") + std::strerror(-bad));
     std::string text;
     const int bad = read_all(files_, manifest_name, most_manifest, text);
-    if (bad < 0 && bad != -ENOENT && (passing(bad) || bad != -EIO))
+    if (bad < 0 && bad != -ENOENT && (passing(bad) || patient_ || bad != -EIO))
         return fail(Fault::io, std::string("the manifest cannot be opened: ") + std::strerror(-bad));
     if (bad >= 0) manifest = read_manifest(text);
     if (manifest) segments = manifest->segments;
@@ -79,6 +99,8 @@
         reading.listed = manifest && listed.number < manifest->next;
         reading.size = sizes[listed.number];
         if (const auto fault = read_segment(listed, reading, report); fault != Fault::none) return fault;
+        if (patient_ && reading.unreadable)
+            return fail(Fault::io, segment_name(listed.number) + " cannot be read");
         next_number_ = std::max(next_number_, listed.number + 1);
         if (reading.present && older(next_, reading.next)) next_ = reading.next;
         readings.push_back(reading);
@@ -136,6 +158,7 @@
     char bytes[segment_head];
     const auto got = file->read_at(bytes, sizeof bytes, 0);
     const auto head = got < 0 ? std::nullopt : read_segment_head({bytes, static_cast<std::size_t>(got)});
+    reading.unreadable = got < 0;
     reading.head_good = head && head->number == listed.number && (id_ == 0 || head->store == id_);
     if (reading.head_good) {
         id_ = head->store;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -10,6 +10,7 @@
 
 // A write that finds no room compacts so much on the spot, and no more: the loop waits for it.
 constexpr std::uint64_t most_on_the_spot = 4 << 20;
+constexpr Stamp most_ahead_ms = 2 * 3600 * 1000;
 
 }  // namespace
 
@@ -342,8 +343,10 @@
     const auto size = static_cast<std::uint32_t>(size_of(o));
     if (o.kind == Kind::put) {
         if (late) return;
-        // A stamp ahead of the clock would never age.
-        const auto stamp = opened_ > 0 && recovering_ ? std::min(o.stamp, opened_) : o.stamp;
+        // A stamp far ahead of the clock would never age; one that is a little ahead was written before the
+        // clock was set back.
+        const bool ahead = opened_ > 0 && recovering_ && o.stamp > opened_ + most_ahead_ms;
+        const auto stamp = ahead ? opened_ : o.stamp;
         segment.puts += size;
         puts_ += size;
         if (const auto before = index_.put(o.keyspace, o.key, {place, o.version, stamp, size, place.segment}))
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -85,8 +85,10 @@
 public:
     Store(Files& files, Options options);
 
-    // Reads what is there, or makes a store. A fault: nothing can be had, and `why()` says what.
-    Fault open(Stamp now, Report& report);
+    // Reads what is there, or makes a store. A fault: nothing can be had, and `why()` says what; after `io` a
+    // later try may succeed, with this same object. `patient`: a read that fails is such a fault; else what
+    // cannot be read counts as damaged.
+    Fault open(Stamp now, Report& report, bool patient = false);
     const std::string& why() const { return why_; }
 
     // All operations or none. An erase of what is not there is left out. A key may be in a batch once.
@@ -162,6 +164,7 @@
 
     Fault fail(Fault fault, std::string why);
     Fault fail(const Job::Install& install);
+    void forget_start();
     Fault recover(Report& report);
     Fault survey(std::optional<Manifest>& manifest, std::vector<Listed>& segments, std::vector<Number>& stale,
                  std::map<Number, std::uint64_t>& sizes);
@@ -207,6 +210,7 @@
     std::uint64_t size_ = 0;               // of all segments in blocks
     std::uint64_t others_ = 0;             // of other files in the folder
     std::uint64_t puts_ = 0, erases_ = 0;  // of all segments: live puts; erases that end something
+    bool patient_ = false;                 // at the start
     bool works_apart_ = false, recovering_ = false, settled_ = true, broken_ = false, job_out_ = false,
          folder_dirty_ = false, manifest_due_ = false;
     bool unsound_tail_ = false;  // what follows the last good frame of the last segment could not be cut off
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "http/writer.hpp"
+#include "policy/send_rules.hpp"
 #include "runtime/log.hpp"
 #include "upstream/flight.hpp"
 
@@ -14,10 +15,6 @@
 // connections go long before the host's limit.
 constexpr double idle_share = 0.8;
 constexpr double settle_ms = 30;
-// A first byte this close to the end of the grace after a drain notice is not written any more. The notice
-// may have come late: where lists are pushed it counts from when the agent had it (cluster/pace.hpp, three
-// eighths of the grace and a call's way at most).
-constexpr double grace_share = 0.5;
 // An answer that has begun ends within so long or is spoilt; for the rest of one whose first line has told
 // all there is less: the host counts the call as out until its answer is written or its connection ends.
 constexpr double answer_ms = 1000, rest_ms = 250;
@@ -223,11 +220,11 @@
             flight.socket.rebind(flight.waker);
             co_return true;
         }
-        bool starved = false;
-        auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker, &starved);
-        // Out of descriptors is this side's trouble: the host is not judged by it.
-        ended.cause = starved ? Cause::not_allowed : Cause::broken;
-        if (starved) shed_idle();
+        auto dialled = runtime::Dialled::begun;
+        auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker, &dialled);
+        // This side's trouble: the host is not judged by it.
+        ended.cause = dialled == runtime::Dialled::refused ? Cause::broken : Cause::not_allowed;
+        if (dialled == runtime::Dialled::no_descriptor) shed_idle();
         if (!socket) co_return false;
         flight.socket = std::move(*socket);
         // Past start_by its first byte may not go: a message whose time ends then is told so at once.
@@ -252,11 +249,12 @@
         if (!connected) co_return;
         ended.progress = Progress::connected;
         // The call may have waited for its connection while the list, a told wait or its window moved on.
-        const Time now = scheduler_.now();
+        const auto barrier =
+            policy::before_first_byte({host.state.gone, host.left_at, settings_.drain_grace_ms, wait_of(host),
+                                       flight.start_by, flight.expires, runtime::steady_now()});
+        ++withheld_[static_cast<std::size_t>(barrier)];
         ended.cause = Cause::not_allowed;
-        if (host.state.gone || now > host.left_at + grace_share * settings_.drain_grace_ms ||
-            now < wait_of(host) || now > flight.start_by || now >= flight.expires)
-            co_return;
+        if (barrier != policy::Barrier::none) co_return;
         flight.rest = request_of(flight);
         flight.stage = Flight::Stage::writing;
         ended.cause = Cause::none;
@@ -378,6 +376,7 @@
     verdict.attempt = parcel.attempt;
     verdict.result = fate.result;
     verdict.over = fate.over;
+    verdict.unsent = fate.result == Result::moot && flight.ended.progress < Progress::partly_written;
     verdict.elapsed_ms = scheduler_.now() - flight.call.decided;
     verdict.wait_ms = fate.wait_ms;
     // A spoilt answer is believed in nothing.
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -1,6 +1,7 @@
 // The upstream hosts: an actor and a pool of connections for each. One call at a time on a connection.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -10,6 +11,7 @@
 
 #include "dispatch/types.hpp"
 #include "http/parser.hpp"
+#include "policy/send_rules.hpp"
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
 #include "state/luggage.hpp"
@@ -90,6 +92,9 @@
     std::uint64_t written() const {
         return written_;
     }  // messages, each time that the last byte of its call left
+    // Calls by what kept them from their first byte, where anything did.
+    using Withheld = std::array<std::uint64_t, policy::barriers>;
+    const Withheld& withheld() const { return withheld_; }
     void keep_at_most(std::size_t idle) { settings_.most_idle = idle; }
 
     // For a successor, between two turns of the loop: nothing waits in a mailbox. `most`: descriptors.
@@ -151,6 +156,7 @@
     std::map<DestinationId, Time> waits_;  // of destinations whose hosts share one limit
     std::size_t idle_ = 0;
     std::uint64_t written_ = 0;
+    Withheld withheld_{};
     std::map<std::string, std::size_t> idle_of_;  // by pool of the operators
 };
 
--- a/standins/disk.cpp
+++ b/standins/disk.cpp
@@ -108,6 +108,7 @@
     int lock(const std::string& name) override {
         const auto fate = disk_.fate(Call::lock, name);
         if (fate.error != 0) return fate.error;
+        if (held_) return 0;
         if (!disk_.lock_.expired()) return -EWOULDBLOCK;
         held_ = std::make_shared<int>(0);
         disk_.lock_ = held_;
