--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -9,6 +9,7 @@
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "runtime/log.hpp"
+#include "store/format.hpp"
 
 namespace brasslift::cluster {
 namespace {
@@ -23,6 +24,9 @@
 // all (measured: docs/CAPACITY.md).
 constexpr double table_share = 0.25, awake_share = 0.25, awake_bytes = 8000;
 
+// Of an endpoint, the same in every process.
+std::uint64_t name_of(std::string_view uid) { return store::hash_of(uid); }
+
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
                                {{"Host", "discovery"}}, "");
@@ -87,12 +91,27 @@
 
 dispatch::Listed Cluster::begin_with_known() {
     dispatch::Listed first;
+    reads_known_ = true;
     Lists lists(*this, [&first](dispatch::Listed listed) { first = std::move(listed); });
     const bool sound = read_known(config_, lists) && lists.fits;
     finish_sweep();
-    if (!sound || lists.whole.empty()) return first;
-    if (share_ != nullptr) share_->own(lists.whole.back(), 0);
-    return apply(lists.whole.back());
+    if (sound && !lists.whole.empty()) {
+        if (share_ != nullptr) share_->own(lists.whole.back(), 0);
+        first = apply(lists.whole.back());
+    }
+    reads_known_ = false;
+    return first;
+}
+
+bool Cluster::is_kept_out(std::string_view uid) const {
+    if (!leaving_.empty() && leaving_.count(name_of(uid)) != 0) return true;
+    return keeps_out_ && keeps_out_(std::string(uid));
+}
+
+// Discovery's own word goes before what an earlier process was told.
+void Cluster::heed_word(const News::Line& line) {
+    if (reads_known_ || leaving_.empty() || line.listing.state != ListingState::ready) return;
+    leaving_.erase(name_of(line.uid));
 }
 
 upstream::HostState Cluster::state_of(const HostView& host) const {
@@ -102,7 +121,7 @@
     state.address = host.address;
     state.destination = line.destination;
     state.apart = line.kind < config_.settings.kinds.size() && config_.settings.kinds[line.kind].routes_apart;
-    state.ready = line.state == ListingState::ready && !(keeps_out_ && keeps_out_(std::string(host.uid)));
+    state.ready = line.state == ListingState::ready && !is_kept_out(host.uid);
     state.gone = line.state == ListingState::gone;
     state.wait_until = line.wait_until;
     return state;
@@ -112,6 +131,7 @@
     const auto state = state_of(host);
     pool_.relist(state);
     lines.push_back(host.listing);
+    lines.back().name = name_of(host.uid);
     if (host.listing.state == ListingState::ready && !state.ready)
         lines.back().state = ListingState::draining;
 }
@@ -125,6 +145,7 @@
     line.endpoint = host.listing.endpoint;
     line.destination = host.listing.destination;
     line.state = ListingState::gone;
+    line.name = name_of(host.uid);
     lines.push_back(line);
 }
 
@@ -134,6 +155,7 @@
 
 // False: there is no room for it.
 bool Cluster::take_line(const News::Line& line, std::vector<Listing>& lines) {
+    heed_word(line);
     const auto before = table_.find(line.uid);
     if (before == no_slot && table_full()) return false;
     // Under another destination it is another host.
@@ -161,6 +183,7 @@
 }
 
 bool Cluster::stage(const News::Line& line) {
+    heed_word(line);
     if (table_full()) return false;
     table_.stage(line.uid, line.address, line.listing);
     return true;
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -61,6 +61,9 @@
     void hear(News news) { mailbox_.put(std::move(news)); }
     // The list that the config has, as if it came from the agent.
     dispatch::Listed begin_with_known();
+    // Endpoints that an earlier process was told leave, by Listing::name: as if the config's list said so,
+    // until discovery says that one is ready.
+    void begin_with_leaving(std::set<std::uint64_t> names) { leaving_ = std::move(names); }
     // What keeps a host out that discovery lists as ready, by its uid: it is as one that drains.
     using KeepsOut = std::function<bool(const std::string& uid)>;
     void keep_out(KeepsOut keeps) { keeps_out_ = std::move(keeps); }
@@ -100,6 +103,10 @@
     runtime::Mailbox<News> mailbox_;
     Tell tell_;
     KeepsOut keeps_out_;
+    std::set<std::uint64_t> leaving_;
+    bool reads_known_ = false;  // the config's list, which may be old
+    bool is_kept_out(std::string_view uid) const;
+    void heed_word(const News::Line& line);
     Share* share_ = nullptr;
     upstream::HostState state_of(const HostView& host) const;
     // To the pool, and as a line for the core.
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -186,6 +186,7 @@
     std::uint64_t order_key_of(const Submission& submission) const;
     void hold_turn(const Owed& message, bool OpenEnd::*because);
     void let_turn_go(MessageId id, bool OpenEnd::*because);
+    void note_leaving(const Listing& line);
     bool take_verdict(Owed& message, const Verdict& verdict);
     void end_delivered(Owed& message, const Verdict& verdict);
     void note_sleep(const Verdict& verdict);
@@ -233,6 +234,7 @@
     std::map<Route, std::deque<Parked>> parked_;
     std::multimap<Time, Route> parked_until_;
     std::unordered_map<std::uint32_t, Listing> hosts_;
+    std::set<std::uint64_t> leaving_;  // as the store has them, by Listing::name
     // Destinations that the module knows, and when a message last came for each; one may be without hosts for
     // a while. Those that rest for long enough sleep, where the directory lets them.
     std::map<DestinationId, Time> awake_;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -163,6 +163,23 @@
     return ids;
 }
 
+void Ledger::note_leaving(std::uint64_t endpoint, ListingState state) {
+    Batch batch;
+    if (state == ListingState::ready)
+        Leaving::erase(batch, endpoint);
+    else
+        Leaving::put(batch, endpoint, state, stamp());
+    write(batch, Purpose::owed);
+}
+
+std::set<std::uint64_t> Ledger::leaving() const {
+    std::set<std::uint64_t> all;
+    Leaving::each(
+        store_, [&](std::uint64_t endpoint, ListingState, const store::Entry&) { all.insert(endpoint); },
+        [](std::string_view) {});
+    return all;
+}
+
 bool Ledger::flush_late() {
     while (!late_.empty()) {
         if (!store_.write(late_.begin()->second, Purpose::owed)) return false;
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -53,6 +53,9 @@
         double wall = 0;
     };
     std::vector<SeenId> seen() const;
+    // What discovery says of an endpoint, where that is that it leaves or that it does no longer.
+    void note_leaving(std::uint64_t endpoint, ListingState state);
+    std::set<std::uint64_t> leaving() const;
     double wall_now() const { return wall_(); }
     // The version behind everything written so far.
     store::Version written() const { return store_.next(); }
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -40,6 +40,7 @@
 
 void Dispatcher::resume() {
     now_ = scheduler_.now();
+    leaving_ = ledger_.leaving();
     remember_ids();
     for (const auto& [id, m] : ledger_.all()) {
         if (m.ending != Ending::none) {
--- a/src/dispatch/records.cpp
+++ b/src/dispatch/records.cpp
@@ -109,12 +109,25 @@
     return in.good() ? std::optional(print) : std::nullopt;
 }
 
+std::string LeavingCodec::value(ListingState state) {
+    return ValueWriter().number(static_cast<std::uint8_t>(state)).take();
+}
+
+std::optional<ListingState> LeavingCodec::value(std::string_view bytes) {
+    ValueReader in(bytes);
+    const auto code = in.number<std::uint8_t>();
+    if (!in.good() || code > static_cast<std::uint8_t>(ListingState::gone)) return std::nullopt;
+    return static_cast<ListingState>(code);
+}
+
 std::vector<store::KeyspaceRule> ledger_keyspaces() {
-    return {{MessageCodec::id, "message", {}, false},
-            {ProgressCodec::id, "progress", {}, false},
-            {NoticeCodec::id, "notice", {}, false},
-            {SeenCodec::id, "seen", {static_cast<store::Stamp>(remembered_ms), most_remembered, 0}, true},
-            {meta_keyspace, "meta", {}, false}};
+    return {
+        {MessageCodec::id, "message", {}, false},
+        {ProgressCodec::id, "progress", {}, false},
+        {NoticeCodec::id, "notice", {}, false},
+        {SeenCodec::id, "seen", {static_cast<store::Stamp>(remembered_ms), most_remembered, 0}, true},
+        {LeavingCodec::id, "leaving", {static_cast<store::Stamp>(leaving_kept_ms), most_leaving, 0}, true},
+        {meta_keyspace, "meta", {}, false}};
 }
 
 void note_risk(Standing& m) {
--- a/src/dispatch/records.hpp
+++ b/src/dispatch/records.hpp
@@ -74,6 +74,17 @@
     static std::string value(const Value& print) { return store::ValueWriter().number(print).take(); }
     static std::optional<Value> value(std::string_view bytes);
 };
+// An endpoint that discovery said to leave, by its name: the next process, which begins with the list of its
+// config and may not hear discovery for long, sends nothing there.
+struct LeavingCodec : ById {
+    using Value = ListingState;
+    static constexpr std::uint8_t id = 6;
+    static std::string value(ListingState state);
+    static std::optional<ListingState> value(std::string_view bytes);
+};
+constexpr double leaving_kept_ms = 3600000;
+constexpr std::size_t most_leaving = 4096;
+
 // Under the key "journal": the journal of the version before is in the store, whole.
 constexpr std::uint8_t meta_keyspace = 5;
 constexpr const char* carried_key = "journal";
@@ -82,6 +93,7 @@
 using Progresses = store::Keyspace<ProgressCodec>;
 using Notices = store::Keyspace<NoticeCodec>;
 using SeenIds = store::Keyspace<SeenCodec>;
+using Leaving = store::Keyspace<LeavingCodec>;
 
 // Ids are remembered past a message's end, for as long as a message may live: one that is handed in under
 // such an id again is no new message, and may not run a second time.
--- a/src/lab/peers.cpp
+++ b/src/lab/peers.cpp
@@ -6,17 +6,12 @@
 
 #include "client/caller.hpp"
 #include "http/writer.hpp"
+#include "lab/peer_connection.hpp"
 
 namespace brasslift::lab {
 
-struct Party::Connection {
-    Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd)
-        : waker(scheduler),
-          socket(scheduler, std::move(fd), waker),
-          parser(http::Parser::Side::request, {16 << 10, 1 << 20}) {}
-    runtime::Waker waker;
-    runtime::Socket socket;
-    http::Parser parser;
+struct Party::Connection : PeerConnection {
+    using PeerConnection::PeerConnection;
 };
 
 Party::Party(runtime::Scheduler& scheduler, Handle handle)
--- a/src/lab/soak_endpoint.cpp
+++ b/src/lab/soak_endpoint.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak_endpoint.hpp"
 
 #include "http/writer.hpp"
+#include "lab/peer_connection.hpp"
 #include "lab/peers.hpp"
 
 namespace brasslift::lab {
@@ -17,14 +18,8 @@
     return names[static_cast<int>(trouble)];
 }
 
-struct SoakEndpoint::Connection {
-    Connection(runtime::Scheduler& scheduler, runtime::Descriptor fd)
-        : waker(scheduler),
-          socket(scheduler, std::move(fd), waker),
-          parser(http::Parser::Side::request, {16 << 10, 1 << 20}) {}
-    runtime::Waker waker;
-    runtime::Socket socket;
-    http::Parser parser;
+struct SoakEndpoint::Connection : PeerConnection {
+    using PeerConnection::PeerConnection;
     std::vector<std::size_t> out;  // the account's calls
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,12 +12,14 @@
 #include "commands/store_command.hpp"
 #include "config/config.hpp"
 #include "serve/life.hpp"
+#include "serve/signals.hpp"
 
 namespace {
 
 using namespace brasslift;
 
 int serve(const std::string& operators) {
+    serve::hold_signals();
     std::optional<serve::Remains> remains;
     {
         serve::Life life(operators, BRASSLIFT_VERSION);
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -189,6 +189,7 @@
         if (runtime::steady_now() >= give_up) throw std::runtime_error("cannot listen on " + config_.listen);
         scheduler_.run_until(runtime::steady_now() + start_pause_ms);
     }
+    cluster_.begin_with_leaving(ledger_.leaving());
     auto first = cluster_.begin_with_known();
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
--- a/tests/core_faults_test.cpp
+++ b/tests/core_faults_test.cpp
@@ -48,6 +48,7 @@
         listed.lines.back().endpoint = {1, 0};
         listed.lines.back().destination = 1;
         listed.lines.back().weight = 1000;
+        listed.lines.back().name = 7;
         dispatcher.recover(listed);
         scheduler.spawn(dispatcher.run());
     }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -429,6 +429,28 @@
 
 // A reload moves the watch and the notices and keeps what is held; a config that cannot be read changes
 // nothing.
+// The config's list is older than what the process before had heard, and discovery says nothing yet. Its own
+// word goes before both.
+TEST(Dispatcher, SendsNothingAfterARestartToAHostThatDrains) {
+    EXPECT_EQ(play(R"(
+        start
+        d1 expect GET /discovery/hosts?stream=1&index=1
+        d1 send HTTP/1.1 200 OK\r\n\r\n{"rev":2,"all":false,"targets":[{"uid":"s-1","endpoint":"@h","pod_group":1,"state":"Terminating"}]}\n
+        wait 100
+        kill
+        start
+        c1 post safe m1 8000m 1
+        c1 expect 202
+        h absent POST 400
+        reload e
+        e expect GET /discovery/hosts?stream=1&index=1
+        e send HTTP/1.1 200 OK\r\n\r\n{"rev":3,"all":false,"targets":[{"uid":"s-1","endpoint":"@h","pod_group":1,"state":"Ready"}]}\n
+        h expect Req-Id: m1
+        h answer 200
+    )"),
+              "");
+}
+
 TEST(Dispatcher, MovesToTheDiscoveryThatAReloadNames) {
     EXPECT_EQ(play(R"(
         start
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -81,6 +81,20 @@
     EXPECT_EQ(next.named("ended")->ending, Ending::failed);
 }
 
+// What discovery said of an endpoint outlasts the process that heard it, and a word that takes it back too.
+TEST(Ledger, KeepsWhoLeaves) {
+    Disk disk;
+    {
+        Life life(disk);
+        life.ledger->note_leaving(1, ListingState::draining);
+        life.ledger->note_leaving(2, ListingState::gone);
+        life.ledger->note_leaving(3, ListingState::draining);
+        life.ledger->note_leaving(3, ListingState::ready);
+    }
+    Life next(disk);
+    EXPECT_EQ(next.ledger->leaving(), (std::set<std::uint64_t>{1, 2}));
+}
+
 TEST(Ledger, KnowsInItsNextLifeWhatIsOwedAndHowFarItCame) {
     Disk disk;
     {
