--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -82,7 +82,7 @@
         std::printf(
             "seed %llu: %zu handed in, %zu taken, %zu delivered, %zu notices, %zu unanswered, %zu calls, "
             "%zu of them ordered;",
-            static_cast<unsigned long long>(plan.seed), f.handed_in, f.taken, f.delivered, f.notices,
+            static_cast<unsigned long long>(plan.seed), f.submitted, f.taken, f.delivered, f.notices,
             f.unanswered, f.calls, f.ordered_calls);
         for (const auto& [kind, count] : end.faults) std::printf(" %s %d", kind.c_str(), count);
         std::printf("%s\n", end.broken.empty() ? "" : "; BROKEN");
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -29,7 +29,7 @@
 constexpr double new_after_term_ms = 300;  // new connections keep coming for so long
 constexpr double gone_ms = 3000;           // from a drain to the endpoint's end in the list
 constexpr int keys_each = 4;               // of each dispatcher's clients
-constexpr std::size_t log_tail = 4000;     // bytes told of a process that ended by itself
+constexpr std::size_t log_tail = 4000;     // bytes shown of a process that ended by itself
 
 // A board in a file, mapped; all zero.
 struct MappedBoard {
@@ -135,21 +135,21 @@
 }
 
 void Soak::start(One& one) {
-    std::map<std::string, std::string> told = {{"PROXY_NAME", one.name},
-                                               {"PROXY_LISTEN", local_text(one.port)},
-                                               {"PROXY_STATE", one.folder + "/state"},
-                                               {"PROXY_CONFIG", one.folder + "/config.json"},
-                                               {"PROXY_ADMIN", local_text(one.admin)},
-                                               {"PROXY_EVENTS", one.folder + "/events"},
-                                               {"TMPDIR", one.folder}};
+    std::map<std::string, std::string> environment = {{"PROXY_NAME", one.name},
+                                                      {"PROXY_LISTEN", local_text(one.port)},
+                                                      {"PROXY_STATE", one.folder + "/state"},
+                                                      {"PROXY_CONFIG", one.folder + "/config.json"},
+                                                      {"PROXY_ADMIN", local_text(one.admin)},
+                                                      {"PROXY_EVENTS", one.folder + "/events"},
+                                                      {"TMPDIR", one.folder}};
     if (!plan_.shim.empty()) {
         const char* const asan = ::getenv("ASAN_OPTIONS");
-        told["LD_PRELOAD"] = plan_.shim;
-        told["ASAN_OPTIONS"] = std::string(asan == nullptr ? "" : asan) + ":verify_asan_link_order=0";
-        told[fault_board_variable] = one.folder + "/board";
+        environment["LD_PRELOAD"] = plan_.shim;
+        environment["ASAN_OPTIONS"] = std::string(asan == nullptr ? "" : asan) + ":verify_asan_link_order=0";
+        environment[fault_board_variable] = one.folder + "/board";
     }
     one.process.end_with_parent();
-    if (!one.process.start({plan_.program, "serve"}, told, one.folder + "/log"))
+    if (!one.process.start({plan_.program, "serve"}, environment, one.folder + "/log"))
         throw std::runtime_error("no process can be started");
     one.started_at = runtime::steady_now();
     one.refuses_after = runtime::never;
@@ -175,13 +175,13 @@
         }
         if (!late && runtime::steady_now() > one.started_at + ready_ms) {
             late = true;
-            tell_log_of(one, "not ready within 10 s");
+            report_log_of(one, "not ready within 10 s");
         }
         co_await runtime::sleep_until(scheduler_, scheduler_.now() + 50);
     }
 }
 
-void Soak::tell_log_of(const One& one, const std::string& rule) {
+void Soak::report_log_of(const One& one, const std::string& rule) {
     account_.broke(one.name + ": " + rule + "\n" + tail_of(one.folder + "/log"), now());
 }
 
@@ -246,7 +246,7 @@
     const auto up = co_await coming;
     if (up != runtime::Io::done || socket->write(request).count != request.size()) co_return;
     const double sent = now();
-    account_.handed_in(message, sent);
+    account_.submitted(message, sent);
     http::Parser parser(http::Parser::Side::response, {16 << 10, 64 << 10});
     char part[4096];
     while (!parser.complete() && scheduler_.now() < until) {
@@ -316,7 +316,7 @@
                      ",\"targets\":[" + targets + "]}\n";
     reply.told = [this, leaving, name = one.name](bool written) {
         if (!written) return;
-        for (const auto& uid : leaving) account_.told_leaving(name, uid, now());
+        for (const auto& uid : leaving) account_.notified_leaving(name, uid, now());
     };
     return reply;
 }
@@ -330,7 +330,7 @@
             if (!one->expected || one->process.running()) continue;
             one->expected = one->ready = false;
             account_.restarts(one->name, now());
-            tell_log_of(*one, "crashed, exit " + std::to_string(one->process.exit_code()));
+            report_log_of(*one, "crashed, exit " + std::to_string(one->process.exit_code()));
             start(*one);
         }
         account_.look(now());
@@ -351,20 +351,20 @@
 runtime::Task<void> Soak::term_and_start(One& one) {
     one.restarting = true;
     one.refuses_after = runtime::steady_now();
-    const double told = runtime::steady_now();
-    account_.note(one.name + " is told to end", now());
+    const double signalled = runtime::steady_now();
+    account_.note(one.name + " gets SIGTERM", now());
     account_.restarts(one.name, now());
     one.process.signal(SIGTERM);
-    while (one.process.running() && runtime::steady_now() < told + exit_ms + exit_slack_ms) {
+    while (one.process.running() && runtime::steady_now() < signalled + exit_ms + exit_slack_ms) {
         one.expected = false;
         co_await runtime::sleep_until(scheduler_, scheduler_.now() + 5);
     }
     one.ready = false;
     if (one.process.running()) {
-        tell_log_of(one, "did not end within 3.7 s of SIGTERM");
+        report_log_of(one, "did not end within 3.7 s of SIGTERM");
         one.process.kill();
     } else if (one.process.exit_code() != 0) {
-        tell_log_of(one, "exit " + std::to_string(one.process.exit_code()) + " after SIGTERM");
+        report_log_of(one, "exit " + std::to_string(one.process.exit_code()) + " after SIGTERM");
     }
     account_.note(one.name + " has ended", now());
     co_await runtime::sleep_until(scheduler_, scheduler_.now() + between(20, restart_ms));
@@ -577,9 +577,9 @@
         scheduler_.run_until(runtime::steady_now() + 50);
     account_.look(now());
     for (auto& one : all_) {
-        const auto told = violations_of(*one);
-        if (told > 0) tell_log_of(*one, std::to_string(told) + " violations counted by itself");
-        end_.violations_told += told;
+        const auto violations = violations_of(*one);
+        if (violations > 0) report_log_of(*one, std::to_string(violations) + " violations counted by itself");
+        end_.violations_counted += violations;
     }
     if (account_.open() > 0)
         account_.broke(std::to_string(account_.open()) + " messages have no end after the faults", now());
--- a/src/lab/soak.hpp
+++ b/src/lab/soak.hpp
@@ -38,8 +38,8 @@
 struct SoakEnd {
     std::vector<std::string> broken;
     SoakAccount::Figures figures;
-    std::map<std::string, int> faults;  // by kind
-    std::size_t violations_told = 0;    // that dispatchers counted themselves
+    std::map<std::string, int> faults;   // by kind
+    std::size_t violations_counted = 0;  // that dispatchers counted themselves
     std::string folder;
 };
 
@@ -80,7 +80,7 @@
     void list(int endpoint, const std::string& state);
     std::string entry_of(const Entry& entry) const;
     std::uint64_t violations_of(One& one);
-    void tell_log_of(const One& one, const std::string& rule);
+    void report_log_of(const One& one, const std::string& rule);
     void heal();
 
     void trouble_an_endpoint();
--- a/src/lab/soak_account.cpp
+++ b/src/lab/soak_account.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double ready_grace_ms = 1500;  // from a restart's end until notices may be overdue
-constexpr std::size_t notes_told = 12;   // of the rig's latest deeds, with a broken rule
+constexpr std::size_t notes_shown = 12;  // of the rig's latest deeds, with a broken rule
 
 std::string at(double now) { return std::to_string(static_cast<long>(now)); }
 
@@ -20,7 +20,7 @@
 
 void SoakAccount::broke(const std::string& rule, double now) {
     std::string text = at(now) + ' ' + rule;
-    const auto from = notes_.size() > notes_told ? notes_.size() - notes_told : 0;
+    const auto from = notes_.size() > notes_shown ? notes_.size() - notes_shown : 0;
     for (auto i = from; i < notes_.size(); ++i) text += "\n    " + notes_[i];
     broken_.push_back(std::move(text));
 }
@@ -32,12 +32,12 @@
     broken_.push_back(std::move(text));
 }
 
-void SoakAccount::handed_in(const Message& message, double now) {
+void SoakAccount::submitted(const Message& message, double now) {
     auto& m = messages_[message.id];
     static_cast<Message&>(m) = message;
     m.handed_at = now;
     m.due = now + message.deadline_ms;
-    ++figures_.handed_in;
+    ++figures_.submitted;
     say(m, "handed in", now);
 }
 
@@ -94,10 +94,10 @@
         broke(m, "drain: sent to " + endpoint + ", which leaves since " + at(leaving->second), now);
     const auto wait = d.waits.find(endpoint);
     if (wait == d.waits.end()) return;
-    const auto [told, until] = wait->second;
-    const double on_the_way = told + terms_.wait_grace_ms + terms_.slack_ms + terms_.scheduling_ms;
+    const auto [since, until] = wait->second;
+    const double on_the_way = since + terms_.wait_grace_ms + terms_.slack_ms + terms_.scheduling_ms;
     if (now > on_the_way && now < until - terms_.scheduling_ms)
-        broke(m, "wait: " + endpoint + " had told to wait until " + at(until), now);
+        broke(m, "wait: " + endpoint + " had asked to wait until " + at(until), now);
 }
 
 std::size_t SoakAccount::called(const std::string& id, const std::string& endpoint, double now) {
@@ -115,7 +115,7 @@
         check_order(m, now);
         check_repeat(m, now);
         check_host(m, endpoint, now);
-        if (!m.notice.empty()) broke(m, "sent after its client was told " + m.notice, now);
+        if (!m.notice.empty()) broke(m, "sent after its client was notified: " + m.notice, now);
     }
     ++m.out;
     ++m.calls;
@@ -159,7 +159,7 @@
     waiting_.erase(id);
 }
 
-void SoakAccount::told_leaving(const std::string& dispatcher, const std::string& endpoint, double now) {
+void SoakAccount::notified_leaving(const std::string& dispatcher, const std::string& endpoint, double now) {
     dispatchers_[dispatcher].leaving.emplace(endpoint, now);
 }
 
--- a/src/lab/soak_account.hpp
+++ b/src/lab/soak_account.hpp
@@ -1,6 +1,6 @@
 // The judge of a soak: what its clients, endpoints and discovery saw of each message, and which of the
 // platform's rules that breaks. It knows nothing of the dispatcher's own state. No I/O: times are
-// milliseconds and told. Errors: none.
+// milliseconds, given by the caller. Errors: none.
 #pragma once
 
 #include <cstdint>
@@ -19,8 +19,8 @@
     double late_ms = 300;          // from a message's time to its loss
     double turn_gap_ms = 100;      // that a key rests
     double window_ms = 5000;       // for repeats of a keyed message
-    double drain_grace_ms = 2000;  // after a dispatcher was told
-    double wait_grace_ms = 100;    // calls on their way to a host that has told a wait
+    double drain_grace_ms = 2000;  // after a dispatcher was notified
+    double wait_grace_ms = 100;    // calls on their way to a host that has asked for a wait
     double scheduling_ms = 100;    // that the judge itself may be late, on a busy machine
 };
 
@@ -34,7 +34,7 @@
         SoakRepeat repeat = SoakRepeat::safe;
         double deadline_ms = 0;
     };
-    void handed_in(const Message& message, double now);
+    void submitted(const Message& message, double now);
     // Its client's view: a status, or no answer. `gone`: the process was ended meanwhile, or the client left.
     void answered(const std::string& id, int status, double now);
     void unanswered(const std::string& id, bool excused, double now);
@@ -43,12 +43,12 @@
     // call's number for the end.
     std::size_t called(const std::string& id, const std::string& endpoint, double now);
     enum class CallEnd : std::uint8_t { delivered, refused, failed, broken };
-    // `wait_ms`: that was told with the answer.
+    // `wait_ms`: that the answer asked for.
     void call_ended(std::size_t call, CallEnd how, double wait_ms, double now);
     // Discovery's view: a notice that was answered.
     void notice_answered(const std::string& id, const std::string& status, double now);
-    // A dispatcher was told that an endpoint leaves.
-    void told_leaving(const std::string& dispatcher, const std::string& endpoint, double now);
+    // A dispatcher was notified that an endpoint leaves.
+    void notified_leaving(const std::string& dispatcher, const std::string& endpoint, double now);
     // From then on nothing is overdue until 1.5 s after it is ready again; waits are forgotten.
     void restarts(const std::string& dispatcher, double now);
     void ready(const std::string& dispatcher, double now);
@@ -59,7 +59,7 @@
     void look(double now);
     std::size_t open() const;  // taken on and not over
     struct Figures {
-        std::size_t handed_in = 0, taken = 0, refused = 0, unanswered = 0, calls = 0, delivered = 0,
+        std::size_t submitted = 0, taken = 0, refused = 0, unanswered = 0, calls = 0, delivered = 0,
                     notices = 0, ordered_calls = 0;
     };
     const Figures& figures() const { return figures_; }
@@ -81,8 +81,8 @@
     struct Dispatcher {
         bool down = false;
         double excused_until = 0;
-        std::map<std::string, double> leaving;                   // endpoints, since when it was told
-        std::map<std::string, std::pair<double, double>> waits;  // by endpoint: told at, until
+        std::map<std::string, double> leaving;                   // endpoints, since when it was notified
+        std::map<std::string, std::pair<double, double>> waits;  // by endpoint: since, until
     };
     struct KeyState {
         std::vector<std::string> line;  // ids in the order of hand-in
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -140,8 +140,16 @@
 bool Life::wait_at_start(double ms) {
     for (const Time until = runtime::steady_now() + ms; runtime::steady_now() < until;)
         scheduler_.run_until(until);
-    const int signal = signals_.next();
-    return signal != SIGTERM && signal != SIGINT;
+    return !stop_requested();
+}
+
+// Looks at the signals that came before the loop serves them. A reload is kept until then.
+bool Life::stop_requested() {
+    for (int signal = signals_.next(); signal != 0; signal = signals_.next()) {
+        if (signal == SIGTERM || signal == SIGINT) return true;
+        reload_due_ = true;
+    }
+    return false;
 }
 
 // What outlasted the last process. What could not be read is told here. A store that takes no records for a
@@ -265,6 +273,7 @@
 }
 
 runtime::Task<void> Life::until_stopped() {
+    if (reload_due_) reload();
     for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
         signal = signals_.next();
         if (signal == SIGHUP) reload();
--- a/src/serve/life.hpp
+++ b/src/serve/life.hpp
@@ -61,6 +61,7 @@
     void open_admin();
     bool recover(const store::Report& report);
     bool wait_at_start(double ms);
+    bool stop_requested();
     void begin();
     void start_anew();
     void resume();
@@ -104,6 +105,7 @@
         state::Luggage luggage;
     };
     std::unique_ptr<Taken> taken_;  // what the process before gave, until it goes on here
+    bool reload_due_ = false;       // a reload was asked for while the process started
     bool stopped_ = false;          // by a signal, before it began or at its end
     std::uint64_t configs_taken_ = 0, configs_refused_ = 0;
 };
--- a/src/serve/moving.cpp
+++ b/src/serve/moving.cpp
@@ -174,7 +174,7 @@
         asks = next == handover::Next::ask_again;
         const Time until = runtime::steady_now() + (asks ? ask_pause_ms : lock_pause_ms);
         while (runtime::steady_now() < until) scheduler_.run_until(until);
-        if (const int signal = signals_.next(); signal == SIGTERM || signal == SIGINT) return false;
+        if (stop_requested()) return false;
     }
 }
 
--- a/src/telemetry/recorder.cpp
+++ b/src/telemetry/recorder.cpp
@@ -332,10 +332,12 @@
     if (found == lives_.end() || found->second.out != attempt) return;
     auto& life = found->second;
     const auto& address = address_of(v.address);
-    meters_.attempt(std::uint64_t{v.address.host} << 16 | v.address.port, address, name_of(v.result),
-                    now - life.out_since);
+    // What did not leave this process is no attempt: the next one has its number, and its span's id.
+    if (!v.unsent)
+        meters_.attempt(std::uint64_t{v.address.host} << 16 | v.address.port, address, name_of(v.result),
+                        now - life.out_since);
     if (v.wait_ms > 0) meters_.told_wait(destination, v.wait_ms);
-    if (settings_.traces) {
+    if (settings_.traces && !v.unsent) {
         Span span = child(life, "attempt", life.out_since, now);
         span.id = attempt_id(life.span, attempt);
         span.kind = SpanKind::client;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -365,6 +365,19 @@
               "");
 }
 
+// A reload that is asked for while the process still waits for the store is made once it serves.
+TEST(Handover, AReloadThatComesDuringAStartIsMadeOnceItServes) {
+    EXPECT_EQ(play_up(R"(
+        replace other
+        wait 300
+        reload e
+        wait 100
+        kill former
+        e expect GET /discovery/hosts?stream=1&index=1
+    )"),
+              "");
+}
+
 TEST(Handover, NobodyIsTurnedBackUnheard) {
     EXPECT_EQ(play_up(R"(
         burst 300 2
--- a/tests/key_order_test.cpp
+++ b/tests/key_order_test.cpp
@@ -3,23 +3,28 @@
 // destinations here, so that nothing but the rule holds the second one back.
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "scenario.hpp"
 
 namespace brasslift::test {
 namespace {
 
-// As the incident of 2026-12-02 (docs/incidents) shows it: a backlog of a key, its destination slow, a
-// planned restart and a kill. A message that was out at the end ends with a notice, and only when that is
-// answered the next one has its turn.
-TEST(KeyOrder, HoldsOverASlowDestinationATermAndAKill) {
-    EXPECT_EQ(play(R"(
+// m1 of a key is out at host 1, and m2 of the same key waits for host 2.
+const std::string one_out_one_waits = R"(
         ordered
         start
         c1 post ordered?key=visit-1 m1 12000m 1
         c1 expect 202
         h1 expect Req-Id: m1
         c1 post ordered?key=visit-1 m2 12000m 2
-        c1 expect 202
+        c1 expect 202)";
+
+// As the incident of 2026-12-02 (docs/incidents) shows it: a backlog of a key, its destination slow, a
+// planned restart and a kill. A message that was out at the end ends with a notice, and only when that is
+// answered the next one has its turn.
+TEST(KeyOrder, HoldsOverASlowDestinationATermAndAKill) {
+    EXPECT_EQ(play(one_out_one_waits + R"(
         c1 post ordered?key=visit-1 m3 12000m 1
         c1 expect 202
         c1 post ordered?key=visit-2 n1 12000m 2
@@ -48,14 +53,7 @@
 
 // The partner may still work on what it read before its connection broke: the key rests, then the next goes.
 TEST(KeyOrder, RestsAKeyAfterACallThatMayStillRun) {
-    EXPECT_EQ(play(R"(
-        ordered
-        start
-        c1 post ordered?key=visit-1 m1 8000m 1
-        c1 expect 202
-        h1 expect Req-Id: m1
-        c1 post ordered?key=visit-1 m2 8000m 2
-        c1 expect 202
+    EXPECT_EQ(play(one_out_one_waits + R"(
         h1 close
         d within 150 {"id":"m1","status":"undeliverable"}
         d answer 204
@@ -118,14 +116,7 @@
 
 // A process that takes over has the turns of the one before it, also where a notice is under way.
 TEST(KeyOrder, GoesWithAHandOver) {
-    EXPECT_EQ(play(R"(
-        ordered
-        start
-        c1 post ordered?key=visit-1 m1 8000m 1
-        c1 expect 202
-        h1 expect Req-Id: m1
-        c1 post ordered?key=visit-1 m2 8000m 2
-        c1 expect 202
+    EXPECT_EQ(play(one_out_one_waits + R"(
         c1 post ordered?key=visit-2 n1 300m 9
         c1 expect 202
         c1 post ordered?key=visit-2 n2 8000m 2
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -45,7 +45,7 @@
 struct Judged {
     SoakAccount account{lab::SoakTerms{}};
     void take(const std::string& id, SoakRepeat repeat, double now, const std::string& key = "") {
-        account.handed_in(message(id, repeat, key), now);
+        account.submitted(message(id, repeat, key), now);
         account.answered(id, 202, now);
     }
     std::string first_broken() const {
@@ -108,7 +108,7 @@
 TEST(SoakJudge, FindsSendsToWhoLeavesOrToldToWait) {
     Judged leaves;
     leaves.take("a", SoakRepeat::safe, 0);
-    leaves.account.told_leaving("n0", "s", 100);
+    leaves.account.notified_leaving("n0", "s", 100);
     leaves.account.call_ended(leaves.account.called("a", "s", 2100), End::refused, 0, 2110);
     EXPECT_EQ(leaves.first_broken(), "");
     leaves.account.called("a", "s", 2300);
@@ -128,7 +128,7 @@
     lost.account.look(5500);
     EXPECT_TRUE(lost.broke("lost")) << lost.first_broken();
     Judged unheard;
-    unheard.account.handed_in(message("a", SoakRepeat::safe), 0);
+    unheard.account.submitted(message("a", SoakRepeat::safe), 0);
     unheard.account.unanswered("a", false, 10);
     EXPECT_TRUE(unheard.broke("lost")) << unheard.first_broken();
     Judged twice;
