Tell which connection each attempt used, and what ended each connection to an endpoint

- The history of events has, with each attempt's end, its answer's status, the connection's number, the calls before and the idle time; the end of each connection to an endpoint has a line of its own.
- Idle connections are a module of their own (upstream/idle_connections); what a forgotten host still held is no longer counted as idle for ever.

--- a/src/admin/figures.cpp
+++ b/src/admin/figures.cpp
@@ -46,6 +46,14 @@
     add(text, "accepts_failed", "", server.accepts_failed(), 'c');
 }
 
+void add_connections(std::string& text, const upstream::ConnectionFigures& connections) {
+    add(text, "connections_opened", "", connections.opened, 'c');
+    add(text, "connections_reused", "", connections.reused, 'c');
+    for (std::size_t i = 0; i < connections.closed.size(); ++i)
+        add(text, "connections_closed", upstream::name_of(static_cast<upstream::ClosedBy>(i)),
+            connections.closed[i], 'c');
+}
+
 }  // namespace
 
 std::string statsd(const Page& page) {
@@ -65,6 +73,7 @@
     add_counts(text, page.counts);
     add_barriers(text, "attempts_withheld", page.counts.withheld);
     add_barriers(text, "calls_withheld", page.withheld);
+    add_connections(text, page.connections);
     add_clients(text, page.server);
     return text;
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -468,8 +468,8 @@
 bool Dispatcher::take_verdict(Owed& m, const Verdict& v) {
     const auto order_key = m.order_key;
     bool over = m.ending != Ending::none || v.over || v.result == Result::ok;
-    events_.note(
-        {now_, Step::landed, v.id, m.name, name_of(v.result), v.host, v.attempt, v.wait_ms, v.together});
+    events_.note({now_, Step::landed, v.id, m.name, name_of(v.result), v.host, v.attempt, v.wait_ms,
+                  v.together, v.status, v.connection});
     if (observer_ != nullptr) observer_->landed(now_, m, v);
     rest_turn(m, v);
     if (v.still_out) {
--- a/src/dispatch/event_log.cpp
+++ b/src/dispatch/event_log.cpp
@@ -45,6 +45,12 @@
     }
     if (!e.reason.empty()) line += " reason=" + std::string(e.reason);
     if (e.together > 1) line += " together=" + std::to_string(e.together);
+    if (e.status > 0) line += " status=" + std::to_string(e.status);
+    if (e.connection.number > 0)
+        line += " connection=" + std::to_string(e.connection.number) +
+                " calls_before=" + std::to_string(e.connection.calls_before);
+    if (e.connection.calls_before > 0)
+        line += " idle_before_ms=" + std::to_string(static_cast<long long>(e.connection.idle_before_ms));
     if (e.wait_ms > 0) line += " wait_ms=" + std::to_string(static_cast<long long>(e.wait_ms));
     return line;
 }
@@ -65,6 +71,15 @@
     append(text);
 }
 
+void EventLog::note(const EndpointConnectionEvent& e) {
+    char text[256];
+    std::snprintf(text, sizeof text,
+                  "%.3f endpoint_connection_closed id=%llu host=%u reason=%.*s calls=%u idle_ms=%.1f", e.at,
+                  static_cast<unsigned long long>(e.connection), e.host.address,
+                  static_cast<int>(e.reason.size()), e.reason.data(), e.calls, e.idle_ms);
+    append(text);
+}
+
 void EventLog::append(const std::string& line) {
     if (!file_) return;
     if (std::fputs((line + '\n').c_str(), file_.get()) >= 0) return;
--- a/src/dispatch/event_log.hpp
+++ b/src/dispatch/event_log.hpp
@@ -40,6 +40,8 @@
     int attempt = -1;              // its number, from 0; -1: none
     double wait_ms = 0;            // that was told or is slept
     std::size_t together = 1;      // messages that shared the attempt's call
+    int status = 0;                // of the attempt's answer; 0: none
+    ConnectionUse connection = {};
 };
 
 // The end of a client's connection; only the file has it.
@@ -51,6 +53,16 @@
     std::size_t unanswered_bytes = 0;  // that were read
 };
 
+// The end of a connection to an endpoint; only the file has it.
+struct EndpointConnectionEvent {
+    Time at = 0;
+    std::uint64_t connection = 0;
+    EndpointId host;
+    std::string_view reason = {};
+    std::uint32_t calls = 0;  // that it carried
+    double idle_ms = 0;       // since its latest answer
+};
+
 class EventLog {
 public:
     explicit EventLog(std::size_t most = 1024) : ring_(most) {}
@@ -58,6 +70,7 @@
     void append_to(const std::string& path);
     void note(const MessageEvent& event);
     void note(const ConnectionEvent& event);
+    void note(const EndpointConnectionEvent& event);
     // What the ring still has of a message, oldest first, a line each.
     std::vector<std::string> about(MessageId id) const;
     std::uint64_t noted() const { return noted_; }
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -80,6 +80,13 @@
 // How far an attempt came when it ended.
 enum class Progress : std::uint8_t { not_connected, connected, partly_written, fully_written, answered };
 
+// The connection that an attempt's call went over.
+struct ConnectionUse {
+    std::uint64_t number = 0;        // of this process's connections to endpoints; 0: there was none
+    std::uint32_t calls_before = 0;  // that it had carried
+    double idle_before_ms = 0;       // since the answer to the latest of them
+};
+
 struct Verdict {
     MessageId id = 0;
     EndpointId host;
@@ -97,6 +104,7 @@
     Progress progress = Progress::not_connected;
     int status = 0;
     std::size_t together = 1;
+    ConnectionUse connection;
 };
 
 // The call of an attempt whose verdict said that it was still out is out no longer.
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -132,6 +132,10 @@
         dispatcher_.events().note(dispatch::ConnectionEvent{
             scheduler_.now(), end.number, downstream::name_of(end.by), end.answered, end.unanswered_bytes});
     });
+    pool_.closed_to([&](const upstream::ConnectionEnd& end) {
+        dispatcher_.events().note(dispatch::EndpointConnectionEvent{
+            scheduler_.now(), end.number, end.host, upstream::name_of(end.by), end.calls, end.idle_ms});
+    });
     server_.turned_away_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
     dispatcher_.look_up_in(&cluster_);
     keeper_.tell_to([&] { core.put(dispatch::Synced{}); });
@@ -252,9 +256,10 @@
 
 std::string Life::figures() const {
     const auto of_members = membership_ ? membership_->figures() : std::string();
-    return of_members + admin::statsd({config_.classes, dispatcher_.figures(), dispatcher_.counts(), server_,
-                                       pool_.withheld(), pool_.written(), ledger_.held(), cluster_.listed(),
-                                       dispatcher_.avoided(), configs_taken_, configs_refused_});
+    return of_members +
+           admin::statsd({config_.classes, dispatcher_.figures(), dispatcher_.counts(), server_,
+                          pool_.withheld(), pool_.connections(), pool_.written(), ledger_.held(),
+                          cluster_.listed(), dispatcher_.avoided(), configs_taken_, configs_refused_});
 }
 
 // What a reload changes while the program runs. The rest of the config shapes the module and the store, and
--- a/src/upstream/flight.hpp
+++ b/src/upstream/flight.hpp
@@ -23,6 +23,9 @@
     std::vector<bool> landed;
     runtime::Waker waker;
     runtime::Socket socket;
+    std::uint64_t connection = 0;    // its number; 0: none yet
+    std::uint32_t calls_before = 0;  // that its connection had carried
+    double idle_before_ms = 0;       // since the answer to the latest of them
     http::Parser parser;
     Ended ended;
     Time expires = 0, start_by = 0;
@@ -54,6 +57,11 @@
         return socket && parser.complete() && !surplus && parser.message().keeps_alive() &&
                !socket.readable();
     }
+    // Why its connection, whose call has ended, is not kept.
+    ClosedBy end_of_connection() const {
+        if (surplus) return ClosedBy::surplus;
+        return reusable() ? ClosedBy::not_kept : ClosedBy::answer;
+    }
 };
 
 // A call is under way for as long as this is there, also where its coroutine is dropped.
--- a/src/upstream/moving.cpp
+++ b/src/upstream/moving.cpp
@@ -30,21 +30,24 @@
         f.begun = flight->begun;
         f.address = flight->address;
         f.surplus = flight->surplus;
+        f.calls_before = flight->calls_before;
         if (flight->socket) f.fd = luggage.add(flight->socket.fd());
         state.flights.push_back(std::move(f));
     }
     for (const auto& [id, host] : hosts_)
-        for (const auto& idle : host->idle)
+        for (const auto& idle : host->idle.all())
             if (idle.pool.empty() && luggage.given().size() < most)
-                state.idle.push_back({id, idle.since, idle.until, luggage.add(idle.socket.fd())});
+                state.idle.push_back(
+                    {id, idle.answered_at, idle.expires_at, idle.calls, luggage.add(idle.socket.fd())});
     return state;
 }
 
 void Pool::adopt(const PoolState& state, state::Luggage& luggage) {
     waits_ = state.waits;
     for (const auto& note : state.hosts) {
-        auto host = std::make_shared<Host>(scheduler_);
+        auto host = std::make_shared<Host>(scheduler_, account_);
         host->state = note.state;
+        host->idle.belong_to(note.state.id);
         host->left_at = note.left_at;
         host->wait_until = note.wait_until;
         hosts_[note.state.id] = host;
@@ -54,8 +57,8 @@
         if (found == hosts_.end()) continue;
         runtime::Socket socket(scheduler_, luggage.take(idle.fd), found->second->waker);
         if (!socket) continue;
-        found->second->idle.push_back({std::move(socket), idle.since, idle.until, ""});
-        ++idle_;
+        found->second->idle.add(
+            {std::move(socket), ++last_connection_, idle.calls, idle.answered_at, idle.expires_at, ""});
     }
     for (const auto& [id, host] : hosts_) scheduler_.spawn(run(host));
     for (const auto& f : state.flights) {
@@ -73,6 +76,8 @@
         flight->begun = f.begun;
         flight->address = f.address;
         flight->surplus = f.surplus;
+        flight->calls_before = f.calls_before;
+        if (f.fd >= 0) flight->connection = ++last_connection_;
         if (flight->stage == Flight::Stage::writing) flight->ended.progress = Progress::partly_written;
         if (f.fd >= 0) flight->socket = runtime::Socket(scheduler_, luggage.take(f.fd), flight->waker);
         const auto found = hosts_.find(f.host);
@@ -87,7 +92,7 @@
     if (!lost) co_return co_await see_through(*host, *flight);
     flight->ended.cause = Cause::broken;
     if (flight->stage == Flight::Stage::reading) flight->ended.progress = Progress::fully_written;
-    flight->socket.close();
+    close(*flight, ClosedBy::call_failed);
     land(*flight);
 }
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -14,7 +14,6 @@
 // A request that crosses the host's own close ends as a reset, which a payment does not survive: idle
 // connections go long before the host's limit.
 constexpr double idle_share = 0.8;
-constexpr double settle_ms = 30;
 // An answer that has begun ends within so long or is spoilt; for the rest of one whose first line has told
 // all there is less: the host counts the call as out until its answer is written or its connection ends.
 constexpr double answer_ms = 1000, rest_ms = 250;
@@ -42,8 +41,9 @@
 void Pool::relist(const HostState& state) {
     auto& host = hosts_[state.id];
     if (!host) {
-        host = std::make_shared<Host>(scheduler_);
+        host = std::make_shared<Host>(scheduler_, account_);
         host->state.id = state.id;
+        host->idle.belong_to(state.id);
         scheduler_.spawn(run(host));
     }
     host->mailbox.put(state);
@@ -87,21 +87,20 @@
             if (auto* const call = std::get_if<dispatch::Call>(&*letter)) {
                 scheduler_.spawn(carry(own, std::move(*call)));
             } else if (const auto* const close = std::get_if<CloseIdle>(&*letter)) {
-                drop_idle(host, true);
+                host.idle.close_all(ClosedBy::endpoint_left, scheduler_.now());
                 if (close->for_good) co_return;
             } else {
                 const auto& state = std::get<HostState>(*letter);
-                if (state.address != host.state.address || !state.ready) drop_idle(host, true);
+                if (state.address != host.state.address || !state.ready)
+                    host.idle.close_all(ClosedBy::endpoint_left, scheduler_.now());
                 if (!state.ready && host.left_at == runtime::never) host.left_at = scheduler_.now();
                 if (state.ready) host.left_at = runtime::never;
                 host.state = state;
                 heed(host, state.wait_until);
             }
         }
-        drop_idle(host);
-        Time next = runtime::never;
-        for (const auto& idle : host.idle) next = std::min(next, idle.until);
-        co_await host.waker.wait(next + 1);
+        host.idle.close_unusable(scheduler_.now());
+        co_await host.waker.wait(host.idle.next_expiry() + 1);
     }
 }
 
@@ -110,63 +109,44 @@
     return pool != nullptr && pool->idle_ms ? std::min(own, *pool->idle_ms) : own;
 }
 
-void Pool::drop_idle(Host& host, bool all) {
-    for (auto it = host.idle.begin(); it != host.idle.end();) {
-        const auto next = std::next(it) - host.idle.begin();
-        const bool over = all || it->until <= scheduler_.now() || it->socket.readable();
-        if (over) remove_idle(host, it);
-        it = host.idle.begin() + (over ? next - 1 : next);
-    }
-}
-
-void Pool::remove_idle(Host& host, std::deque<Idle>::iterator idle) {
-    --idle_;
-    if (!idle->pool.empty())
-        if (const auto count = idle_of_.find(idle->pool); --count->second == 0) idle_of_.erase(count);
-    host.idle.erase(idle);
-}
-
 // Gives up the connection that has been idle for longest, whosever it is.
 void Pool::shed_idle() {
     Host* oldest = nullptr;
     for (auto& [id, host] : hosts_)
         if (!host->idle.empty() &&
-            (oldest == nullptr || host->idle.front().since < oldest->idle.front().since))
+            (oldest == nullptr || host->idle.oldest_answer() < oldest->idle.oldest_answer()))
             oldest = host.get();
-    if (oldest == nullptr) return;
-    remove_idle(*oldest, oldest->idle.begin());
+    if (oldest != nullptr) oldest->idle.close_oldest(ClosedBy::shed, scheduler_.now());
 }
 
-runtime::Socket Pool::take_idle(Host& host, const std::string& pool) {
-    drop_idle(host);
-    // The latest used is the least likely to be closed as idle; but a host that closes right after its answer
-    // takes a moment to do so, and what is written meanwhile is lost.
-    const auto of_pool = [&](const Idle& i) { return i.pool == pool; };
-    const auto settled = std::find_if(host.idle.rbegin(), host.idle.rend(), [&](const Idle& i) {
-        return of_pool(i) && i.since <= scheduler_.now() - settle_ms;
-    });
-    const auto any =
-        settled == host.idle.rend() ? std::find_if(host.idle.rbegin(), host.idle.rend(), of_pool) : settled;
-    if (any == host.idle.rend()) return {};
-    const auto chosen = std::prev(any.base());
-    auto socket = std::move(chosen->socket);
-    remove_idle(host, chosen);
-    return socket;
+bool Pool::take_idle(Host& host, Flight& flight) {
+    auto connection = host.idle.take(flight.pool(), scheduler_.now());
+    if (!connection) return false;
+    ++account_.figures.reused;
+    flight.socket = std::move(connection->socket);
+    flight.socket.rebind(flight.waker);
+    flight.connection = connection->number;
+    flight.calls_before = connection->calls;
+    flight.idle_before_ms = scheduler_.now() - connection->answered_at;
+    return true;
 }
 
-void Pool::give_back(Host& host, Flight& flight) {
-    if (!host.state.ready || idle_ >= settings_.most_idle) return;
+bool Pool::give_back(Host& host, Flight& flight) {
+    if (!host.state.ready || account_.idle >= settings_.most_idle) return false;
     const auto& pool = flight.call.pool;
-    if (pool) {
-        const auto idle = idle_of_.find(pool->name);
-        if (pool->idle_total && (idle == idle_of_.end() ? 0 : idle->second) >= *pool->idle_total) return;
-        ++idle_of_[pool->name];
-    }
+    if (pool && pool->idle_total && account_.idle_in(pool->name) >= *pool->idle_total) return false;
     flight.socket.rebind(host.waker);
-    host.idle.push_back(
-        {std::move(flight.socket), scheduler_.now(), scheduler_.now() + lifetime(pool.get()), flight.pool()});
-    ++idle_;
+    const Time now = scheduler_.now();
+    host.idle.add({std::move(flight.socket), flight.connection, flight.calls_before + 1, now,
+                   now + lifetime(pool.get()), flight.pool()});
     host.waker.notify();
+    return true;
+}
+
+void Pool::close(Flight& flight, ClosedBy by) {
+    if (!flight.socket) return;
+    flight.socket.close();
+    account_.count_end({flight.connection, flight.call.host, by, flight.calls_before + 1, 0});
 }
 
 Time& Pool::wait_of(Host& host) {
@@ -202,24 +182,21 @@
     flight.stage = Flight::Stage::told;
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
-    if (!answered || flight.ended.cause != Cause::none) flight.socket.close();
+    if (!answered || flight.ended.cause != Cause::none) close(flight, ClosedBy::call_failed);
     if (answered)
         heed(host, scheduler_.now() + fate_of(flight.ended, flight.parser.message().headers).wait_ms);
     land(flight);
     // Where connections are capped, the next call counts on this one's place as soon as it has landed.
     if (flight.socket && !flight.parser.complete() && !flight.capped()) co_await read_answer(flight);
-    if (flight.reusable()) give_back(host, flight);
+    const bool kept = flight.reusable() && give_back(host, flight);
+    if (!kept) close(flight, flight.end_of_connection());
 }
 
 // False: there is no connection that the call may go over.
 runtime::Task<bool> Pool::connect(Host& host, Flight& flight) {
     auto& ended = flight.ended;
     if (flight.stage == Flight::Stage::begun) {
-        flight.socket = take_idle(host, flight.pool());
-        if (flight.socket) {
-            flight.socket.rebind(flight.waker);
-            co_return true;
-        }
+        if (take_idle(host, flight)) co_return true;
         auto dialled = runtime::Dialled::begun;
         auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker, &dialled);
         // This side's trouble: the host is not judged by it.
@@ -227,6 +204,8 @@
         if (dialled == runtime::Dialled::no_descriptor) shed_idle();
         if (!socket) co_return false;
         flight.socket = std::move(*socket);
+        flight.connection = ++last_connection_;
+        ++account_.figures.opened;
         // Past start_by its first byte may not go: a message whose time ends then is told so at once.
         const double dial_ms = flight.call.pool
                                    ? std::min(settings_.dial_timeout_ms,
@@ -386,6 +365,7 @@
     verdict.progress = flight.ended.progress;
     verdict.status = flight.ended.status;
     verdict.together = flight.call.parcels.size();
+    verdict.connection = {flight.connection, flight.calls_before, flight.idle_before_ms};
     return verdict;
 }
 
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -15,6 +15,7 @@
 #include "runtime/mailbox.hpp"
 #include "runtime/socket.hpp"
 #include "state/luggage.hpp"
+#include "upstream/idle_connections.hpp"
 #include "upstream/outcome.hpp"
 
 namespace brasslift::upstream {
@@ -55,6 +56,7 @@
     Time expires = 0, start_by = 0, dial_until = 0, begun = 0;
     runtime::Address address;
     bool surplus = false;
+    std::uint32_t calls_before = 0;  // that its connection had carried
     int fd = -1;
 };
 struct HostNote {
@@ -63,7 +65,8 @@
 };
 struct IdleState {
     EndpointId host;
-    Time since = 0, until = 0;
+    Time answered_at = 0, expires_at = 0;
+    std::uint32_t calls = 0;
     int fd = -1;
 };
 struct PoolState {
@@ -87,7 +90,10 @@
     Time wait_until(EndpointId host) const;  // the end of the told wait that binds it; 0: none
     void call(dispatch::Call call) override;
     void close_idle(EndpointId host) override;
-    std::size_t idle() const { return idle_; }
+    std::size_t idle() const { return account_.idle; }
+    const ConnectionFigures& connections() const { return account_.figures; }
+    // Told of each connection's end.
+    void closed_to(std::function<void(const ConnectionEnd&)> closed) { account_.closed = std::move(closed); }
     std::size_t known() const { return hosts_.size(); }
     std::uint64_t written() const {
         return written_;
@@ -103,23 +109,19 @@
     void adopt(const PoolState& state, state::Luggage& luggage);
 
 private:
-    struct Idle {
-        runtime::Socket socket;
-        Time since = 0, until = 0;
-        std::string pool;  // of the operators; empty: none
-    };
     struct CloseIdle {
         bool for_good = false;  // the host is forgotten, and its actor ends
     };
     using Letter = std::variant<dispatch::Call, CloseIdle, HostState>;
     struct Host {
-        explicit Host(runtime::Scheduler& scheduler) : waker(scheduler), mailbox(waker) {}
+        Host(runtime::Scheduler& scheduler, ConnectionAccount& account)
+            : waker(scheduler), mailbox(waker), idle(account) {}
         runtime::Waker waker;
         runtime::Mailbox<Letter> mailbox;
         HostState state;
         Time left_at = runtime::never;  // since when the list says that it drains or is gone
         Time wait_until = 0;            // of a host that is a route of its own
-        std::deque<Idle> idle;          // the latest used last
+        IdleConnections idle;
     };
     struct Flight;
     struct Listed;
@@ -136,11 +138,11 @@
     runtime::Task<void> read_answer(Flight& flight);
     Time& wait_of(Host& host);
     void heed(Host& host, Time until);
-    runtime::Socket take_idle(Host& host, const std::string& pool);
-    void give_back(Host& host, Flight& flight);
-    void remove_idle(Host& host, std::deque<Idle>::iterator idle);
+    bool take_idle(Host& host, Flight& flight);
+    // Whether the connection was kept for another call.
+    bool give_back(Host& host, Flight& flight);
+    void close(Flight& flight, ClosedBy by);
     void shed_idle();
-    void drop_idle(Host& host, bool all = false);
     double lifetime(const plan::PoolRule* pool) const;
     Time next_due(const Flight& flight) const;
     void land_due(Flight& flight);
@@ -151,13 +153,13 @@
     PoolSettings settings_;
     Report report_;
     std::function<void(MessageId)> call_ended_ = [](MessageId) {};
+    ConnectionAccount account_;  // outlives the hosts
+    std::uint64_t last_connection_ = 0;
     std::map<EndpointId, HostPtr> hosts_;
     std::set<Flight*> flights_;            // under way
     std::map<DestinationId, Time> waits_;  // of destinations whose hosts share one limit
-    std::size_t idle_ = 0;
     std::uint64_t written_ = 0;
     Withheld withheld_{};
-    std::map<std::string, std::size_t> idle_of_;  // by pool of the operators
 };
 
 }  // namespace brasslift::upstream
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -152,6 +152,33 @@
               "");
 }
 
+TEST(Figures, CountConnectionsToEndpointsByWhatEndedThem) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post safe m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 200
+        wait 700
+        c1 post safe m2 8000m 1
+        h1 expect Req-Id: m2
+        h1 answer 200
+        wait 700
+        h1 answer 200
+        h1 closed
+        c1 post safe m3 8000m 1
+        h2 expect Req-Id: m3
+        h2 answer 200
+        h2 close
+        wait 100
+        o1 call GET /metrics
+        o1 expect app.connections_opened:2|c
+        o1 expect app.connections_reused:1|c
+        o1 expect app.connections_closed.unsolicited:1|c
+        o1 expect app.connections_closed.peer:1|c
+    )"),
+              "");
+}
+
 TEST(Figures, BeginAtZeroAndCountTheEndsOfAnEarlierLife) {
     EXPECT_EQ(play(R"(
         start
