--- a/src/upstream/flight.hpp
+++ b/src/upstream/flight.hpp
@@ -60,7 +60,9 @@
     // Why its connection, whose call has ended, is not kept.
     ClosedBy end_of_connection() const {
         if (surplus) return ClosedBy::surplus;
-        return reusable() ? ClosedBy::not_kept : ClosedBy::answer;
+        if (!parser.complete() || !parser.message().keeps_alive()) return ClosedBy::answer;
+        if (socket.news_of_end()) return ClosedBy::peer;
+        return socket.readable() ? ClosedBy::unsolicited : ClosedBy::not_kept;
     }
 };
 
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -168,6 +168,7 @@
         c1 post safe m3 8000m 1
         h2 expect Req-Id: m3
         h2 answer 200
+        wait 100
         h2 close
         wait 100
         o1 call GET /metrics
