Let a connection rest behind each answer before it carries another call

Cause: an answer belongs to the call that is out on its connection, and a connection went back into use at once. An endpoint that writes an answer a second time some milliseconds later so ended the next call on it: a 200 delivered what was refused, a 503 refused what ran. The real answer then ended the call behind that one.

Evidence: six of the ten messages have the copy 4 to 10 ms behind their call, the other four follow on such a connection; both repeats are one first sleep (0.2 s) behind a foreign answer. Tests on the real program with such endpoints failed the same way: ALate200, ALate503 (known red until now), AnAnswerOutOfStep, ALateRefusalOfABulkCall, ASecondAnswerEndsNoCall at 5 to 450 ms, and pass now.

Why it works: a connection carries no call within 0.5 s of its latest answer, by a look right before the call, and anything that comes meanwhile closes it. Bytes that come later than that while no call is out make all connections rest for four times as long; beyond the time that idle connections are kept, each call has its own. What remains: a copy that comes later than the rest, on a connection in use, before any other was seen.

Under a cap on connections a resting one gives its place up. Idle connections are looked at by one poll, not one recv each; a call looks at the one it takes.

--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -164,6 +164,20 @@
 
 void Socket::end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
 
+std::vector<bool> which_are_readable(const std::vector<const Socket*>& sockets) {
+    std::vector<pollfd> states;
+    for (const auto* const socket : sockets) states.push_back({socket->fd(), POLLIN, 0});
+    std::vector<bool> readable(sockets.size(), false);
+    if (states.empty()) return readable;
+    int ready = 0;
+    do {
+        ready = ::poll(states.data(), states.size(), 0);
+    } while (ready < 0 && errno == EINTR);
+    // Where the look failed for the system's trouble, nothing is known of any.
+    for (std::size_t i = 0; ready > 0 && i < states.size(); ++i) readable[i] = states[i].revents != 0;
+    return readable;
+}
+
 std::optional<Socket> listen_on(Scheduler& scheduler, Address address, Waker& waker) {
     auto fd = make_socket();
     if (!fd) return std::nullopt;
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "runtime/scheduler.hpp"
 
@@ -55,6 +56,9 @@
     std::uint64_t watch_ = 0;
 };
 
+// Of which of them bytes, an end or a failure wait to be read; one look for all.
+std::vector<bool> which_are_readable(const std::vector<const Socket*>& sockets);
+
 // Nothing where no descriptor is left or the address cannot be had.
 std::optional<Socket> listen_on(Scheduler& scheduler, Address address, Waker& waker);
 // How far a connect came at once. Trouble of this system (no descriptor, no memory, no local port) says
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -23,9 +23,10 @@
     expired,        // idle for too long
     not_kept,       // there was no room for another idle connection
     shed,           // its descriptor was needed
+    capped,         // it rested, and its place under a cap on connections was needed
     endpoint_left,  // the endpoint drains, moved or is gone, or the module gave its connections back
 };
-constexpr std::size_t closed_by_count = 9;
+constexpr std::size_t closed_by_count = 10;
 std::string_view name_of(ClosedBy by);
 
 // A connection that may carry another call. Times: milliseconds of the steady clock.
--- a/src/upstream/idle_connections.cpp
+++ b/src/upstream/idle_connections.cpp
@@ -1,15 +1,11 @@
 #include "upstream/idle_connections.hpp"
 
 #include <algorithm>
+#include <vector>
 
-namespace brasslift::upstream {
-namespace {
-
-// A host that closes right after its answer takes a moment to do so, and what is written meanwhile is lost.
-constexpr double settle_ms = 30;
-
-}  // namespace
+#include "runtime/log.hpp"
 
+namespace brasslift::upstream {
 std::string_view name_of(ClosedBy by) {
     switch (by) {
         case ClosedBy::call_failed: return "call_failed";
@@ -20,6 +16,7 @@
         case ClosedBy::expired: return "expired";
         case ClosedBy::not_kept: return "not_kept";
         case ClosedBy::shed: return "shed";
+        case ClosedBy::capped: return "capped";
         case ClosedBy::endpoint_left: return "endpoint_left";
     }
     return "";
@@ -62,29 +59,51 @@
 }
 
 std::optional<Connection> IdleConnections::take(const std::string& pool, Time now) {
-    close_unusable(now);
-    const auto of_pool = [&](const Connection& c) { return c.pool == pool; };
     // The latest used is the least likely to be closed as idle.
-    const auto settled = std::find_if(connections_.rbegin(), connections_.rend(), [&](const Connection& c) {
-        return of_pool(c) && c.answered_at <= now - settle_ms;
-    });
-    const auto any = settled == connections_.rend()
-                         ? std::find_if(connections_.rbegin(), connections_.rend(), of_pool)
-                         : settled;
-    if (any == connections_.rend()) return std::nullopt;
-    return remove(std::prev(any.base()));
+    for (std::size_t i = connections_.size(); i-- > 0;) {
+        const auto place = connections_.begin() + static_cast<std::ptrdiff_t>(i);
+        if (place->pool != pool || !account_.reuse.may_carry(place->answered_at, now)) continue;
+        if (place->expires_at <= now)
+            close(place, ClosedBy::expired, now);
+        else if (place->socket.readable())
+            close_readable(place, now);
+        else
+            return remove(place);
+    }
+    return std::nullopt;
+}
+
+void IdleConnections::make_place(const std::string& pool, Time now) {
+    const auto oldest = std::find_if(connections_.begin(), connections_.end(),
+                                     [&](const Connection& c) { return c.pool == pool; });
+    if (oldest != connections_.end()) close(oldest, ClosedBy::capped, now);
 }
 
 void IdleConnections::close_unusable(Time now) {
+    std::vector<const runtime::Socket*> sockets;
+    for (const auto& connection : connections_) sockets.push_back(&connection.socket);
+    const auto readable = runtime::which_are_readable(sockets);
     for (std::size_t i = connections_.size(); i-- > 0;) {
         const auto place = connections_.begin() + static_cast<std::ptrdiff_t>(i);
-        if (place->expires_at <= now)
+        if (readable[i])
+            close_readable(place, now);
+        else if (place->expires_at <= now)
             close(place, ClosedBy::expired, now);
-        else if (place->socket.readable())
-            close(place, place->socket.news_of_end() ? ClosedBy::peer : ClosedBy::unsolicited, now);
     }
 }
 
+// Its endpoint has ended it, or has sent what no call asked for.
+void IdleConnections::close_readable(Place place, Time now) {
+    if (place->socket.news_of_end()) return close(place, ClosedBy::peer, now);
+    const double late_ms = now - place->answered_at;
+    if (account_.reuse.heed_late_bytes(late_ms))
+        runtime::log("upstream",
+                     "bytes came %.0f ms behind an answer, while no call was out: connections rest for "
+                     "%.0f ms from now on",
+                     late_ms, account_.reuse.rest_ms());
+    close(place, ClosedBy::unsolicited, now);
+}
+
 void IdleConnections::close_all(ClosedBy by, Time now) {
     while (!connections_.empty()) close_oldest(by, now);
 }
--- a/src/upstream/idle_connections.hpp
+++ b/src/upstream/idle_connections.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "upstream/connection.hpp"
+#include "upstream/reuse.hpp"
 
 namespace brasslift::upstream {
 
@@ -18,6 +19,7 @@
     std::size_t idle = 0;
     std::map<std::string, std::size_t> idle_of_pool;  // of the operators' pools
     ConnectionFigures figures;
+    ReuseRule reuse;
     std::function<void(const ConnectionEnd&)> closed = [](const ConnectionEnd&) {};
 
     std::size_t idle_in(const std::string& pool) const;
@@ -34,8 +36,10 @@
     // Whose connections these are, for the account.
     void belong_to(EndpointId host) { host_ = host; }
     void add(Connection connection);
-    // One that may carry a call of that pool of the operators' (empty: none).
+    // The latest used that has rested and may carry a call of that pool of the operators' (empty: none).
     std::optional<Connection> take(const std::string& pool, Time now);
+    // Closes the oldest of that pool, where there is one.
+    void make_place(const std::string& pool, Time now);
     // Closes what has expired, has ended or has bytes that no call asked for.
     void close_unusable(Time now);
     void close_all(ClosedBy by, Time now);
@@ -50,6 +54,7 @@
     using Place = std::deque<Connection>::iterator;
     Connection remove(Place place);
     void close(Place place, ClosedBy by, Time now);
+    void close_readable(Place place, Time now);
 
     ConnectionAccount& account_;
     EndpointId host_;
--- a/src/upstream/moving.cpp
+++ b/src/upstream/moving.cpp
@@ -7,6 +7,7 @@
 PoolState Pool::save(state::Luggage& luggage, std::size_t most) const {
     PoolState state;
     state.waits = waits_;
+    state.rest_ms = account_.reuse.rest_ms();
     for (const auto& [id, host] : hosts_)
         state.hosts.push_back({host->state, host->left_at, host->wait_until});
     for (const auto* const flight : flights_) {
@@ -44,6 +45,7 @@
 
 void Pool::adopt(const PoolState& state, state::Luggage& luggage) {
     waits_ = state.waits;
+    account_.reuse = ReuseRule(state.rest_ms);
     for (const auto& note : state.hosts) {
         auto host = std::make_shared<Host>(scheduler_, account_);
         host->state = note.state;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -121,7 +121,10 @@
 
 bool Pool::take_idle(Host& host, Flight& flight) {
     auto connection = host.idle.take(flight.pool(), scheduler_.now());
-    if (!connection) return false;
+    if (!connection) {
+        if (flight.capped()) host.idle.make_place(flight.pool(), scheduler_.now());
+        return false;
+    }
     ++account_.figures.reused;
     flight.socket = std::move(connection->socket);
     flight.socket.rebind(flight.waker);
@@ -135,10 +138,12 @@
     if (!host.state.ready || account_.idle >= settings_.most_idle) return false;
     const auto& pool = flight.call.pool;
     if (pool && pool->idle_total && account_.idle_in(pool->name) >= *pool->idle_total) return false;
+    const Time now = runtime::steady_now();
+    const double idle_ms = lifetime(pool.get());
+    if (idle_ms <= account_.reuse.rest_ms()) return false;
     flight.socket.rebind(host.waker);
-    const Time now = scheduler_.now();
-    host.idle.add({std::move(flight.socket), flight.connection, flight.calls_before + 1, now,
-                   now + lifetime(pool.get()), flight.pool()});
+    host.idle.add({std::move(flight.socket), flight.connection, flight.calls_before + 1, now, now + idle_ms,
+                   flight.pool()});
     host.waker.notify();
     return true;
 }
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -74,6 +74,7 @@
     std::map<DestinationId, Time> waits;
     std::vector<FlightState> flights;
     std::vector<IdleState> idle;
+    double rest_ms = 0;  // of connections behind an answer
 };
 
 class Pool : public dispatch::Upstream {
--- a/tests/foreign_answer_test.cpp
+++ b/tests/foreign_answer_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "scenario.hpp"
+#include "upstream/reuse.hpp"
 
 namespace brasslift::test {
 namespace {
@@ -48,6 +49,123 @@
               "");
 }
 
+TEST(ForeignAnswer, ASecondAnswerEndsNoCallHoweverLateItComesWithinHalfASecond) {
+    for (const auto* const late : {"5", "60", "250", "450"}) {
+        const std::string wait = std::string("wait ") + late + "\n";
+        EXPECT_EQ(play("start\n"
+                       "c1 post safe m1 8000m 1\n"
+                       "h1 expect Req-Id: m1\n"
+                       "h1 answer 200\n"
+                       "c1 expect 202\n" +
+                       wait +
+                       "c1 post safe m2 8000m 1\n"
+                       "h expect Req-Id: m2\n"
+                       "h1 answer 200\n"
+                       "wait 30\n"
+                       "h answer 503\n"
+                       "h expect Req-Id: m2\n"
+                       "h answer 200\n"),
+                  "")
+            << late;
+    }
+}
+
+TEST(ForeignAnswer, AnAnswerOutOfStepDoesNotEndTheCallsBehindIt) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post safe m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 200
+        c1 expect 202
+        c1 post safe m2 8000m 1
+        h expect Req-Id: m2
+        h1 answer 200
+        wait 30
+        c2 post payment m3 8000m 1
+        c2 expect 202
+        wait 50
+        h answer 503
+        h expect Req-Id: m3
+        h answer 200
+        h expect Req-Id: m2
+        h answer 200
+        h absent Req-Id: m3 1000
+    )"),
+              "");
+}
+
+// A bulk call's refusal names no message: it may be any call's.
+TEST(ForeignAnswer, ALateRefusalOfABulkCallRepeatsNoPayment) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post safe m0 8000m 1
+        h1 expect Req-Id: m0
+        h1 answer 200
+        c1 expect 202
+        wait 600
+        c1 post safe m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 429 X-RateLimit-Wait-Ms: 700
+        c2 post safe m2 8000m 1
+        c3 post safe m3 8000m 1
+        c2 expect 202
+        c3 expect 202
+        h1 expect POST /inbox/bulk
+        h1 expect m3 key-m3
+        h1 answer 503
+        c1 post payment m4 8000m 1
+        h expect Idempotency-Key: key-m4
+        h1 answer 503
+        wait 100
+        h answer 200
+        h expect m2 key-m2
+        h expect m3 key-m3
+        h send HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\nm2 done\r\nm3 done\r\n
+        h absent m4 1000
+    )"),
+              "");
+}
+
+TEST(ForeignAnswer, ConnectionsRestForLongerBehindOneThatCameLater) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post safe m1 8000m 1
+        h1 expect Req-Id: m1
+        h1 answer 200
+        c1 expect 202
+        wait 650
+        h1 answer 200
+        h1 closed
+        c1 post safe m2 8000m 1
+        h2 expect Req-Id: m2
+        h2 answer 200
+        wait 900
+        c1 post safe m3 8000m 1
+        h expect Req-Id: m3
+        h2 answer 200
+        wait 30
+        h answer 503
+        h expect Req-Id: m3
+    )"),
+              "");
+}
+
+TEST(ReuseRule, LetsAConnectionRestForAtLeastHalfASecond) {
+    const upstream::ReuseRule rule;
+    EXPECT_FALSE(rule.may_carry(1000, 1499));
+    EXPECT_TRUE(rule.may_carry(1000, 1500));
+}
+
+TEST(ReuseRule, RestsForSeveralTimesTheLatestLatenessAndNeverForLess) {
+    upstream::ReuseRule rule;
+    EXPECT_FALSE(rule.heed_late_bytes(100));
+    EXPECT_EQ(rule.rest_ms(), upstream::ReuseRule::least_rest_ms);
+    EXPECT_TRUE(rule.heed_late_bytes(300));
+    EXPECT_EQ(rule.rest_ms(), 1200);
+    EXPECT_FALSE(rule.heed_late_bytes(200));
+    EXPECT_EQ(rule.rest_ms(), 1200);
+}
+
 TEST(ForeignAnswer, ALate204OfTheNoticeBeforeAnswersNoOtherNotice) {
     EXPECT_EQ(play(R"(
         start
