--- a/src/upstream/idle_connections.cpp
+++ b/src/upstream/idle_connections.cpp
@@ -32,6 +32,14 @@
     closed(end);
 }
 
+void ConnectionAccount::heed_extra_bytes(double late_ms) {
+    if (!reuse.heed_extra_bytes(late_ms)) return;
+    runtime::log("upstream",
+                 "bytes came %.0f ms behind an answer, while no call was out: connections rest for %.0f ms "
+                 "from now on",
+                 late_ms, reuse.rest_ms());
+}
+
 IdleConnections::~IdleConnections() {
     while (!connections_.empty()) remove(connections_.begin());
 }
@@ -95,12 +103,7 @@
 // Its endpoint has ended it, or has sent what no call asked for.
 void IdleConnections::close_readable(Place place, Time now) {
     if (place->socket.news_of_end()) return close(place, ClosedBy::peer, now);
-    const double late_ms = now - place->answered_at;
-    if (account_.reuse.heed_late_bytes(late_ms))
-        runtime::log("upstream",
-                     "bytes came %.0f ms behind an answer, while no call was out: connections rest for "
-                     "%.0f ms from now on",
-                     late_ms, account_.reuse.rest_ms());
+    account_.heed_extra_bytes(now - place->answered_at);
     close(place, ClosedBy::unsolicited, now);
 }
 
--- a/src/upstream/idle_connections.hpp
+++ b/src/upstream/idle_connections.hpp
@@ -9,8 +9,8 @@
 #include <optional>
 #include <string>
 
+#include "http/reuse.hpp"
 #include "upstream/connection.hpp"
-#include "upstream/reuse.hpp"
 
 namespace brasslift::upstream {
 
@@ -19,11 +19,13 @@
     std::size_t idle = 0;
     std::map<std::string, std::size_t> idle_of_pool;  // of the operators' pools
     ConnectionFigures figures;
-    ReuseRule reuse;
+    http::ReuseRule reuse;
     std::function<void(const ConnectionEnd&)> closed = [](const ConnectionEnd&) {};
 
     std::size_t idle_in(const std::string& pool) const;
     void count_end(const ConnectionEnd& end);
+    // More came than the answers to its calls, so long after the latest one.
+    void heed_extra_bytes(double late_ms);
 };
 
 class IdleConnections {
--- a/src/upstream/moving.cpp
+++ b/src/upstream/moving.cpp
@@ -45,7 +45,7 @@
 
 void Pool::adopt(const PoolState& state, state::Luggage& luggage) {
     waits_ = state.waits;
-    account_.reuse = ReuseRule(state.rest_ms);
+    account_.reuse = http::ReuseRule(state.rest_ms);
     for (const auto& note : state.hosts) {
         auto host = std::make_shared<Host>(scheduler_, account_);
         host->state = note.state;
