Let connections of notices rest, and believe no answer to half a request

What callers would see: a message that ends by a notice, and no notice (lost). The platform's 204 comes twice, the second copy answers the next notice, and where that post fails it never comes again.

Cause: client::Caller used its connection again at once, ignored bytes behind an answer, and took an answer that came before the request was written whole.

Evidence: ForeignAnswer.ALate204OfTheNoticeBeforeAnswersNoOtherNotice (known red until now) and EarlyAnswer.TakesNoRequestThatIsStillBeingWritten fail without the change.

Why it works: the same rule as for calls (http/reuse). Where no other connection is to be had, one that has not rested carries the notice: late by nothing, and sent again by its own rules. Exports and members' calls keep their connections as they were: a telemetry batch is owed to nobody, and members' frames carry their place.

--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -84,7 +84,7 @@
         send_at(id, pending, scheduler_.now() + again_ms(pending.tries++));
         body += line_of(pending.notice);
     }
-    auto caller = std::make_unique<client::Caller>(scheduler_);
+    auto caller = std::make_unique<client::Caller>(scheduler_, http::Limits{}, client::Reuse::rested);
     if (!idle_.empty()) {
         caller = std::move(idle_.back());
         idle_.pop_back();
@@ -107,7 +107,8 @@
         unreadable(ids, body);
     else
         failed(ids, kept);
-    if (caller->kept() && to == discovery_ && idle_.size() < most_idle) idle_.push_back(std::move(caller));
+    if (caller->connected() && to == discovery_ && idle_.size() < most_idle)
+        idle_.push_back(std::move(caller));
     waker_.notify();
 }
 
