End no call by an answer that came before the call was written whole

Evidence: EarlyAnswer.EndsNoCallThatIsStillBeingWritten fails without the change: the verdict of a call of 16 MB is "delivered" by a 200 that came before its second half.

Why it works: an endpoint starts a call once its last byte has come, so what comes on a used connection before is another call's; the call has not run and may be tried again. On a fresh connection all is as it was: an endpoint may refuse there at once.

--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -285,6 +285,12 @@
 
 runtime::Task<bool> Pool::write_rest(Flight& flight) {
     while (!flight.rest.empty()) {
+        // What comes on a used connection before the call is whole answers another one; this one has not run.
+        if (flight.calls_before > 0 && flight.socket.readable()) {
+            if (!flight.socket.news_of_end()) account_.heed_extra_bytes(flight.idle_before_ms);
+            flight.ended.cause = Cause::broken;
+            co_return false;
+        }
         const auto put = flight.socket.write(flight.rest);
         if (put.io == runtime::Io::done) {
             flight.rest.erase(0, put.count);
--- a/tests/early_answer_test.cpp
+++ b/tests/early_answer_test.cpp
@@ -3,6 +3,7 @@
 
 #include "client/caller.hpp"
 #include "lab/link.hpp"
+#include "upstream/pool.hpp"
 
 namespace brasslift::test {
 namespace {
@@ -11,7 +12,7 @@
 
 // More than the system's buffers take while nobody reads.
 constexpr std::size_t large = 16U << 20;
-constexpr double answer_ms = 100;
+constexpr double rested_ms = 600, answer_ms = 100;
 
 // Takes one connection, reads nothing unless it is asked to, and writes what it is told to.
 class Peer {
@@ -27,6 +28,10 @@
         const auto answer = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
         ASSERT_EQ(connection_.write(answer).count, answer.size());
     }
+    void read() {
+        char part[4096];
+        while (connection_.read(part, sizeof part).io == runtime::Io::done) continue;
+    }
 
 private:
     Scheduler& scheduler_;
@@ -35,6 +40,44 @@
     std::uint16_t port_ = 0;
 };
 
+TEST(EarlyAnswer, EndsNoCallThatIsStillBeingWritten) {
+    Scheduler scheduler;
+    const auto pass = [&](double ms) { scheduler.run_until(runtime::steady_now() + ms); };
+    Peer peer(scheduler);
+    upstream::Pool pool(scheduler, {});
+    std::vector<dispatch::Verdict> verdicts;
+    pool.report_to([&](dispatch::Verdict verdict) { verdicts.push_back(std::move(verdict)); });
+    upstream::HostState host;
+    host.id = {1, 0};
+    host.address = peer.address();
+    host.ready = true;
+    pool.relist(host);
+    const auto call = [&](MessageId id, std::size_t size) {
+        dispatch::Parcel parcel;
+        parcel.id = id;
+        parcel.name = std::to_string(id);
+        parcel.body = std::make_shared<const std::string>(size, 'x');
+        parcel.due = parcel.expires = runtime::steady_now() + 5000;
+        pool.call({host.id, runtime::steady_now(), {parcel}, nullptr});
+    };
+    call(1, 5);
+    pass(answer_ms);
+    peer.read();
+    peer.write("200");
+    pass(rested_ms);
+    call(2, large);
+    pass(answer_ms);
+    peer.write("200");
+    for (const double until = runtime::steady_now() + 20 * answer_ms;
+         verdicts.size() < 2 && runtime::steady_now() < until; pass(1))
+        peer.read();
+    EXPECT_EQ(pool.connections().reused, 1U);
+    EXPECT_EQ(verdicts.size(), 2U);
+    EXPECT_EQ(verdicts.front().result, Result::ok);
+    EXPECT_EQ(verdicts.back().result, Result::connect_failed);
+    scheduler.drop_tasks();
+}
+
 TEST(EarlyAnswer, TakesNoRequestThatIsStillBeingWritten) {
     for (const auto* const status : {"204", "413"}) {
         Scheduler scheduler;
