Leave out what comes on a watch behind a newer version

What callers would see: a message sent to an endpoint that discovery had said leaves (drain).

Cause: each object of the watch was applied, whatever its version, so that a second copy of an older one took its states back.

Evidence: ForeignAnswer.ASecondCopyOfAnOlderListBringsNoEndpointBack fails without the change, for changes and whole lists.

Why it works: versions grow within one watch. A new watch may begin anywhere, as before.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -46,10 +46,14 @@
 
     void begin(const ListHead& head) override {
         coming = {head.whole, head.version, {}};
+        // Versions grow within one watch: an older one is a second copy of what was heard before.
+        stale = latest && head.version < *latest;
+        if (stale) return;
         staging = head.whole && cluster.share_ == nullptr;
         if (staging) cluster.begin_whole(std::exchange(whole, {}));
     }
     void line(News::Line&& line) override {
+        if (stale) return;
         if (!staging)
             coming.lines.push_back(std::move(line));
         else
@@ -57,7 +61,9 @@
     }
     void end() override {
         if (left_out != nullptr && left_out->any()) runtime::log("cluster", "%s", as_text(*left_out).c_str());
+        if (stale) return;
         if (!fits) return cut({});
+        latest = coming.version;
         if (std::exchange(staging, false))
             tell(cluster.end_whole(coming.version));
         else
@@ -71,8 +77,9 @@
     Cluster& cluster;
     Tell tell;
     const LeftOut* left_out = nullptr;
-    bool staging = false, fits = true;
-    bool any = false;  // came to its end
+    bool staging = false, fits = true, stale = false;
+    std::optional<std::uint32_t> latest;  // version that came on this watch
+    bool any = false;                     // came to its end
     News coming;
     std::vector<News> whole;  // that are still to be applied
 };
--- a/tests/foreign_answer_test.cpp
+++ b/tests/foreign_answer_test.cpp
@@ -167,6 +167,27 @@
     EXPECT_EQ(rule.rest_ms(), 1200);
 }
 
+// Discovery's watch is one long answer: an object that comes again behind a newer one is old.
+TEST(ForeignAnswer, ASecondCopyOfAnOlderListBringsNoEndpointBack) {
+    const std::string line =
+        R"(,"targets":[{"uid":"s-1","endpoint":"@h","az":"a","model":"m1","pod_group":1,)";
+    const auto object = [&](const std::string& head, const std::string& state) {
+        return "d1 send {" + head + line + R"("state":")" + state +
+               R"(","capacity_hint":1.0,"boot_ms":0}]}\n)" + '\n';
+    };
+    const std::string ready = R"("rev":42,"all":false)", whole = R"("rev":42,"all":true)";
+    for (const auto& older : {ready, whole})
+        EXPECT_EQ(play("start\n"
+                       "d1 expect GET /discovery/hosts\n"
+                       "d1 send HTTP/1.1 200 OK\\r\\n\\r\\n\\n\n" +
+                       object(older, "Ready") + object(R"("rev":43,"all":false)", "Terminating") +
+                       "wait 100\n" + object(older, "Ready") +
+                       "wait 100\n"
+                       "c1 post safe m1 600m 1\n"
+                       "h absent Req-Id: m1 700\n"),
+                  "");
+}
+
 TEST(ForeignAnswer, ALate204OfTheNoticeBeforeAnswersNoOtherNotice) {
     EXPECT_EQ(play(R"(
         start
