--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -55,7 +55,7 @@
     // A connection carries one call.
     const auto cap = pool ? pool->calls_per_host.value_or(pool->connections_per_host.value_or(0)) : 0;
     auto& calls = calls_[route];
-    const bool fresh = calls.empty() || calls.back().parcels.size() >= room;
+    const bool fresh = calls.empty() || calls.back().messages.size() >= room;
     if (fresh && cap > 0 && open_calls_[route] >= cap) {
         // It has not begun: no record says that it has.
         const Time due = m->due_wall - wall_offset_;
@@ -80,23 +80,23 @@
     if (fresh) calls.push_back({attempt.endpoint, now_, {}, std::move(pool)});
     if (cap > 0) {
         if (fresh) ++open_calls_[route];
-        const auto beside = fresh ? open_.end() : open_.find(calls.back().parcels.back().id);
+        const auto beside = fresh ? open_.end() : open_.find(calls.back().messages.back().id);
         auto call =
             beside == open_.end() ? std::make_shared<OpenCall>(OpenCall{route, 0}) : beside->second.second;
         ++call->left;
         open_.insert_or_assign(m->id, std::pair(number, std::move(call)));
     }
-    Parcel parcel;
-    parcel.id = m->id;
-    parcel.name = m->name;
-    parcel.key = m->key;
-    parcel.body = m->body;
-    parcel.attempt = number;
-    parcel.due = m->due_wall - wall_offset_;
-    parcel.expires = attempt.expires > 0 ? attempt.expires : parcel.due;
-    parcel.start_by = attempt.start_by;
-    parcel.trace = std::move(trace);
-    calls.back().parcels.push_back(std::move(parcel));
+    CallMessage message;
+    message.id = m->id;
+    message.name = m->name;
+    message.key = m->key;
+    message.body = m->body;
+    message.attempt = number;
+    message.due = m->due_wall - wall_offset_;
+    message.expires = attempt.expires > 0 ? attempt.expires : message.due;
+    message.start_by = attempt.start_by;
+    message.trace = std::move(trace);
+    calls.back().messages.push_back(std::move(message));
 }
 
 void Dispatcher::when_durable(std::function<void(bool)> act) {
@@ -122,21 +122,21 @@
     if (durable_ == nullptr) return upstream_.call(std::move(call));
     when_durable([this, call = std::make_shared<Call>(std::move(call))](bool durable) {
         // What never left: its record could not be kept, or its client went before the answer.
-        std::erase_if(call->parcels, [&](const Parcel& parcel) {
-            const auto* const m = ledger_.find(parcel.id);
+        std::erase_if(call->messages, [&](const CallMessage& message) {
+            const auto* const m = ledger_.find(message.id);
             const bool over = m == nullptr || m->ending != Ending::none;
             if (durable && !over) return false;
             Verdict verdict;
-            verdict.id = parcel.id;
+            verdict.id = message.id;
             verdict.host = call->host;
-            verdict.attempt = parcel.attempt;
+            verdict.attempt = message.attempt;
             verdict.result = Result::moot;
             verdict.unsent = true;
             verdict.over = over;
             mailbox_.put(verdict);
             return true;
         });
-        if (!call->parcels.empty()) upstream_.call(std::move(*call));
+        if (!call->messages.empty()) upstream_.call(std::move(*call));
     });
 }
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -60,7 +60,7 @@
     MessageId id = 0;
 };
 
-struct Parcel {
+struct CallMessage {
     MessageId id = 0;
     std::string name, key;
     std::shared_ptr<const std::string> body;
@@ -73,7 +73,7 @@
 struct Call {
     EndpointId host;
     Time decided = 0;
-    std::vector<Parcel> parcels;
+    std::vector<CallMessage> messages;
     std::shared_ptr<const plan::PoolRule> pool;  // whose connection settings hold; none: the dispatcher's own
 };
 
--- a/src/upstream/flight.hpp
+++ b/src/upstream/flight.hpp
@@ -16,7 +16,7 @@
 struct Pool::Flight {
     Flight(runtime::Scheduler& scheduler, dispatch::Call c)
         : call(std::move(c)),
-          landed(call.parcels.size(), false),
+          landed(call.messages.size(), false),
           waker(scheduler),
           parser(http::Parser::Side::response, answer_limits) {}
     dispatch::Call call;
@@ -30,7 +30,7 @@
     Ended ended;
     Time expires = 0, start_by = 0;
     runtime::Address address;
-    enum class Stage : std::uint8_t { begun, connecting, writing, reading, told };
+    enum class Stage : std::uint8_t { begun, connecting, writing, reading, reported };
     Stage stage = Stage::begun;
     std::string rest;  // of the request, still to be written
     Time dial_until = 0;
@@ -39,8 +39,8 @@
         return call.pool ? call.pool->name : own;
     }
     bool capped() const { return call.pool && call.pool->connections_per_host; }
-    bool bulk() const { return call.parcels.size() > 1; }
-    bool told() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
+    bool bulk() const { return call.messages.size() > 1; }
+    bool outcome_known() const { return parser.complete() || (!bulk() && parser.message().status == 200); }
     bool surplus = false;         // more came than belongs to the answer
     Time begun = runtime::never;  // since when its answer has been coming
     // Bytes of the answer; what follows it shows that the connection may serve no other call.
--- a/src/upstream/moving.cpp
+++ b/src/upstream/moving.cpp
@@ -12,15 +12,15 @@
         state.hosts.push_back({host->state, host->left_at, host->wait_until});
     for (const auto* const flight : flights_) {
         // One that has been reported only reads the rest of its answer.
-        if (flight->stage == Flight::Stage::told) continue;
+        if (flight->stage == Flight::Stage::reported) continue;
         FlightState f;
         f.host = flight->call.host;
         f.decided = flight->call.decided;
         const bool unwritten = flight->stage < Flight::Stage::writing;
-        for (std::size_t i = 0; i < flight->call.parcels.size(); ++i) {
-            const auto& p = flight->call.parcels[i];
-            f.parcels.push_back({p.id, p.name, p.key, unwritten ? *p.body : std::string(), p.attempt, p.due,
-                                 p.expires, p.start_by, p.trace, flight->landed[i]});
+        for (std::size_t i = 0; i < flight->call.messages.size(); ++i) {
+            const auto& p = flight->call.messages[i];
+            f.messages.push_back({p.id, p.name, p.key, unwritten ? *p.body : std::string(), p.attempt, p.due,
+                                  p.expires, p.start_by, p.trace, flight->landed[i]});
         }
         f.stage = static_cast<std::uint8_t>(flight->stage);
         f.rest = flight->rest;
@@ -65,11 +65,11 @@
     for (const auto& [id, host] : hosts_) scheduler_.spawn(run(host));
     for (const auto& f : state.flights) {
         dispatch::Call call{f.host, f.decided, {}, nullptr};
-        for (const auto& p : f.parcels)
-            call.parcels.push_back({p.id, p.name, p.key, std::make_shared<const std::string>(p.body),
-                                    p.attempt, p.due, p.expires, p.start_by, p.trace});
+        for (const auto& p : f.messages)
+            call.messages.push_back({p.id, p.name, p.key, std::make_shared<const std::string>(p.body),
+                                     p.attempt, p.due, p.expires, p.start_by, p.trace});
         auto flight = std::make_shared<Flight>(scheduler_, std::move(call));
-        for (std::size_t i = 0; i < f.parcels.size(); ++i) flight->landed[i] = f.parcels[i].landed;
+        for (std::size_t i = 0; i < f.messages.size(); ++i) flight->landed[i] = f.messages[i].landed;
         flight->stage = static_cast<Flight::Stage>(f.stage);
         flight->rest = f.rest;
         flight->expires = f.expires;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -23,19 +23,19 @@
 std::string Pool::request_of(const Flight& flight) const {
     if (flight.bulk()) {
         std::string body;
-        for (const auto& parcel : flight.call.parcels)
-            http::add_frame(body, parcel.name, parcel.key, *parcel.body);
+        for (const auto& message : flight.call.messages)
+            http::add_frame(body, message.name, message.key, *message.body);
         return http::write_request("POST", "/inbox/bulk", {{"Host", "endpoint"}}, body);
     }
-    const auto& parcel = flight.call.parcels.front();
-    http::HeaderList headers{{"Host", "endpoint"}, {"Req-Id", parcel.name}};
-    if (!parcel.key.empty()) headers.emplace_back("Idempotency-Key", parcel.key);
-    const auto left = static_cast<long long>(std::ceil(std::max(1.0, parcel.expires - scheduler_.now())));
+    const auto& message = flight.call.messages.front();
+    http::HeaderList headers{{"Host", "endpoint"}, {"Req-Id", message.name}};
+    if (!message.key.empty()) headers.emplace_back("Idempotency-Key", message.key);
+    const auto left = static_cast<long long>(std::ceil(std::max(1.0, message.expires - scheduler_.now())));
     headers.emplace_back("Req-Deadline", std::to_string(left) + 'm');
     // A bulk call's frames have no place for them.
-    if (!parcel.trace.parent.empty()) headers.emplace_back("traceparent", parcel.trace.parent);
-    if (!parcel.trace.state.empty()) headers.emplace_back("tracestate", parcel.trace.state);
-    return http::write_request("POST", "/inbox", headers, *parcel.body);
+    if (!message.trace.parent.empty()) headers.emplace_back("traceparent", message.trace.parent);
+    if (!message.trace.state.empty()) headers.emplace_back("tracestate", message.trace.state);
+    return http::write_request("POST", "/inbox", headers, *message.body);
 }
 
 void Pool::relist(const HostState& state) {
@@ -83,14 +83,14 @@
 runtime::Task<void> Pool::run(HostPtr own) {
     auto& host = *own;
     for (;;) {
-        while (auto letter = host.mailbox.take()) {
-            if (auto* const call = std::get_if<dispatch::Call>(&*letter)) {
+        while (auto command = host.mailbox.take()) {
+            if (auto* const call = std::get_if<dispatch::Call>(&*command)) {
                 scheduler_.spawn(carry(own, std::move(*call)));
-            } else if (const auto* const close = std::get_if<CloseIdle>(&*letter)) {
+            } else if (const auto* const close = std::get_if<CloseIdle>(&*command)) {
                 host.idle.close_all(ClosedBy::endpoint_left, scheduler_.now());
                 if (close->for_good) co_return;
             } else {
-                const auto& state = std::get<HostState>(*letter);
+                const auto& state = std::get<HostState>(*command);
                 if (state.address != host.state.address || !state.ready)
                     host.idle.close_all(ClosedBy::endpoint_left, scheduler_.now());
                 if (!state.ready && host.left_at == runtime::never) host.left_at = scheduler_.now();
@@ -168,14 +168,14 @@
     // A call is out under its first message's name: one that ends while it is out
     // (docs/design/rare-faults.md) takes the answers of those behind it along. So whoever has the most time
     // left goes first.
-    std::stable_sort(call.parcels.begin(), call.parcels.end(),
+    std::stable_sort(call.messages.begin(), call.messages.end(),
                      [](const auto& a, const auto& b) { return a.due > b.due; });
     Flight flight(scheduler_, std::move(call));
     flight.start_by = runtime::never;
     flight.address = own->state.address;
-    for (const auto& parcel : flight.call.parcels) {
-        flight.expires = std::max(flight.expires, parcel.expires);
-        if (parcel.start_by > 0) flight.start_by = std::min(flight.start_by, parcel.start_by);
+    for (const auto& message : flight.call.messages) {
+        flight.expires = std::max(flight.expires, message.expires);
+        if (message.start_by > 0) flight.start_by = std::min(flight.start_by, message.start_by);
     }
     co_await see_through(*own, flight);
 }
@@ -184,7 +184,7 @@
     flights_.insert(&flight);
     const Listed listed{flights_, &flight};
     co_await exchange(host, flight);
-    flight.stage = Flight::Stage::told;
+    flight.stage = Flight::Stage::reported;
     const bool answered = flight.ended.progress == Progress::answered;
     // To give a call up is to close its connection: before the module may send the message again.
     if (!answered || flight.ended.cause != Cause::none) close(flight, ClosedBy::call_failed);
@@ -252,11 +252,11 @@
     ended.progress = Progress::fully_written;
     ended.cause = Cause::none;
     char part[4096];
-    while (!flight.told()) {
+    while (!flight.outcome_known()) {
         const auto got = flight.socket.read(part, sizeof part);
         if (got.io == runtime::Io::done) {
             flight.feed({part, got.count}, scheduler_.now());
-            if (!flight.unreadable() || flight.told()) continue;
+            if (!flight.unreadable() || flight.outcome_known()) continue;
             ended.cause = Cause::spoilt;
             break;
         }
@@ -274,7 +274,7 @@
             continue;
         }
         flight.parser.end();
-        if (flight.told()) break;
+        if (flight.outcome_known()) break;
         // Cut short, it has told nothing that can be relied on: a line that says 503 may be noise.
         ended.cause = Cause::broken;
         co_return;
@@ -305,7 +305,7 @@
         co_await flight.waker.wait(next_due(flight));
     }
     flight.ended.cause = Cause::none;
-    written_ += flight.call.parcels.size();
+    written_ += flight.call.messages.size();
     co_return true;
 }
 
@@ -327,8 +327,8 @@
 // A message whose time is up while its call is still out: its end cannot wait for the others'.
 void Pool::land_due(Flight& flight) {
     for (std::size_t i = 0; i < flight.landed.size(); ++i) {
-        const auto& parcel = flight.call.parcels[i];
-        if (flight.landed[i] || scheduler_.now() < parcel.due) continue;
+        const auto& message = flight.call.messages[i];
+        if (flight.landed[i] || scheduler_.now() < message.due) continue;
         flight.landed[i] = true;
         auto verdict = verdict_of(flight, i, {Result::timeout, false, 0});
         verdict.still_out = true;
@@ -339,19 +339,19 @@
 Time Pool::next_due(const Flight& flight) const {
     Time next = flight.expires;
     for (std::size_t i = 0; i < flight.landed.size(); ++i)
-        if (!flight.landed[i]) next = std::min(next, flight.call.parcels[i].due);
+        if (!flight.landed[i]) next = std::min(next, flight.call.messages[i].due);
     return next;
 }
 
 void Pool::land(Flight& flight) {
     std::vector<std::string> names;
-    for (const auto& parcel : flight.call.parcels) names.push_back(parcel.name);
+    for (const auto& message : flight.call.messages) names.push_back(message.name);
     const auto& answer = flight.parser.message();
     auto fates = flight.bulk() ? fates_of(flight.ended, answer, names)
                                : std::vector<Fate>{fate_of(flight.ended, answer.headers)};
     for (std::size_t i = 0; i < fates.size(); ++i) {
         if (flight.landed[i]) {
-            call_ended_(flight.call.parcels[i].id);
+            call_ended_(flight.call.messages[i].id);
             continue;
         }
         flight.landed[i] = true;
@@ -360,11 +360,11 @@
 }
 
 dispatch::Verdict Pool::verdict_of(const Flight& flight, std::size_t place, const Fate& fate) const {
-    const auto& parcel = flight.call.parcels[place];
+    const auto& message = flight.call.messages[place];
     dispatch::Verdict verdict;
-    verdict.id = parcel.id;
+    verdict.id = message.id;
     verdict.host = flight.call.host;
-    verdict.attempt = parcel.attempt;
+    verdict.attempt = message.attempt;
     verdict.result = fate.result;
     verdict.over = fate.over;
     verdict.unsent = fate.result == Result::moot && flight.ended.progress < Progress::partly_written;
@@ -376,7 +376,7 @@
     verdict.address = flight.address;
     verdict.progress = flight.ended.progress;
     verdict.status = flight.ended.status;
-    verdict.together = flight.call.parcels.size();
+    verdict.together = flight.call.messages.size();
     verdict.connection = {flight.connection, flight.calls_before, flight.idle_before_ms};
     return verdict;
 }
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -39,7 +39,7 @@
 };
 
 // What a pool gives to its successor. Descriptors are places in the luggage.
-struct ParcelState {
+struct CallMessageState {
     MessageId id = 0;
     std::string name, key, body;  // the body only where the call is still to be written
     int attempt = 0;
@@ -50,7 +50,7 @@
 struct FlightState {
     EndpointId host;
     Time decided = 0;
-    std::vector<ParcelState> parcels;
+    std::vector<CallMessageState> messages;
     std::uint8_t stage = 0;
     std::string rest, parser;  // what is still to be written; where its answer stands
     Time expires = 0, start_by = 0, dial_until = 0, begun = 0;
@@ -113,12 +113,12 @@
     struct CloseIdle {
         bool for_good = false;  // the host is forgotten, and its actor ends
     };
-    using Letter = std::variant<dispatch::Call, CloseIdle, HostState>;
+    using HostCommand = std::variant<dispatch::Call, CloseIdle, HostState>;
     struct Host {
         Host(runtime::Scheduler& scheduler, ConnectionAccount& account)
             : waker(scheduler), mailbox(waker), idle(account) {}
         runtime::Waker waker;
-        runtime::Mailbox<Letter> mailbox;
+        runtime::Mailbox<HostCommand> mailbox;
         HostState state;
         Time left_at = runtime::never;  // since when the list says that it drains or is gone
         Time wait_until = 0;            // of a host that is a route of its own
--- a/tests/core_faults_test.cpp
+++ b/tests/core_faults_test.cpp
@@ -80,11 +80,11 @@
         return client;
     }
     void answer(const dispatch::Call& call, Result result, bool unsent = false) {
-        for (const auto& parcel : call.parcels) {
+        for (const auto& message : call.messages) {
             dispatch::Verdict verdict;
-            verdict.id = parcel.id;
+            verdict.id = message.id;
             verdict.host = call.host;
-            verdict.attempt = parcel.attempt;
+            verdict.attempt = message.attempt;
             verdict.result = result;
             verdict.unsent = unsent;
             dispatcher.mailbox().put(verdict);
@@ -128,7 +128,7 @@
     EXPECT_TRUE(core.outbox.notices.empty());  // more tries than it may have attempts, and it is still owed
     disk.follow({});
     ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == 1; }));
-    EXPECT_EQ(core.upstream.calls[0].parcels[0].attempt, 0);
+    EXPECT_EQ(core.upstream.calls[0].messages[0].attempt, 0);
     core.answer(core.upstream.calls[0], Result::ok);
     ASSERT_TRUE(core.await([&] { return core.ledger.held() == 0; }));
     // Nothing of it is left in the module: the next message goes at once.
@@ -144,7 +144,7 @@
     // Each of them after the least sleep: the endpoint is not taken for a silent one.
     for (std::size_t i = 1; i <= 5; ++i) {
         ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == i; }, 1500)) << i;
-        EXPECT_EQ(core.upstream.calls.back().parcels[0].attempt, 0);
+        EXPECT_EQ(core.upstream.calls.back().messages[0].attempt, 0);
         core.answer(core.upstream.calls.back(), Result::moot, true);
     }
     ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == 6; }));
@@ -229,7 +229,7 @@
     for (int i = 0; i < 3; ++i) core.submit("m" + std::to_string(i), 3, "visit-1");
     for (std::size_t i = 1; i <= 3; ++i) {
         ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == i; })) << i;
-        EXPECT_EQ(core.upstream.calls.back().parcels.size(), 1U);
+        EXPECT_EQ(core.upstream.calls.back().messages.size(), 1U);
         core.answer(core.upstream.calls.back(), Result::ok);
     }
     EXPECT_TRUE(core.await([&] { return core.ledger.held() == 0; }));
--- a/tests/early_answer_test.cpp
+++ b/tests/early_answer_test.cpp
@@ -53,12 +53,12 @@
     host.ready = true;
     pool.relist(host);
     const auto call = [&](MessageId id, std::size_t size) {
-        dispatch::Parcel parcel;
-        parcel.id = id;
-        parcel.name = std::to_string(id);
-        parcel.body = std::make_shared<const std::string>(size, 'x');
-        parcel.due = parcel.expires = runtime::steady_now() + 5000;
-        pool.call({host.id, runtime::steady_now(), {parcel}, nullptr});
+        dispatch::CallMessage message;
+        message.id = id;
+        message.name = std::to_string(id);
+        message.body = std::make_shared<const std::string>(size, 'x');
+        message.due = message.expires = runtime::steady_now() + 5000;
+        pool.call({host.id, runtime::steady_now(), {message}, nullptr});
     };
     call(1, 5);
     pass(answer_ms);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -55,7 +55,7 @@
     upstream::PoolState pool;
     pool.hosts.emplace_back();
     pool.waits[1] = 2;
-    pool.flights.emplace_back().parcels.emplace_back();
+    pool.flights.emplace_back().messages.emplace_back();
     pool.idle.emplace_back();
     cluster::ClusterState cluster;
     cluster.hosts.emplace_back();
