Rest connections for longer only behind bytes that came apart from an answer

Change: what comes in one read with its answer closes its connection, as ever, and raises nothing; what comes apart raises the rest as before: it is the kind that can end another call.

--- a/src/client/caller.cpp
+++ b/src/client/caller.cpp
@@ -35,13 +35,14 @@
     const auto state = co_await runtime::come_up(scheduler_, socket_, waker_, until());
     std::string_view rest = request;
     http::Parser parser(http::Parser::Side::response, limits_);
-    bool surplus = false;
+    bool surplus = false, cut = false;
     char part[4096];
     while (state == runtime::Io::done && !parser.complete() && scheduler_.now() < until()) {
         if (!rest.empty()) {
             const auto put = socket_.write(rest);
             // The peer may have said why, and closed, before it had read all.
-            if (put.io == runtime::Io::failed) rest = {};
+            cut = cut || put.io == runtime::Io::failed;
+            if (cut) rest = {};
             rest.remove_prefix(std::min(put.count, rest.size()));
             if (put.io == runtime::Io::done) continue;
         }
@@ -58,8 +59,7 @@
         if (parser.fault() != http::Fault::none) break;
     }
     answered_at_ = runtime::steady_now();
-    if (surplus) rule_.heed_extra_bytes(0);
-    const bool whole = rest.empty();
+    const bool whole = rest.empty() && !cut;
     if (!parser.complete() || !whole || surplus || !parser.message().keeps_alive()) socket_.close();
     if (!parser.complete()) co_return std::nullopt;
     // A peer may refuse what it has not read; it cannot have taken it.
--- a/src/http/reuse.hpp
+++ b/src/http/reuse.hpp
@@ -13,7 +13,7 @@
 public:
     // From its answer until a connection may carry another request, at least.
     static constexpr double least_rest_ms = 250;
-    // The same where more than an answer has come once.
+    // The same where bytes have come once while no request was out.
     static constexpr double least_alert_rest_ms = 1000;
 
     explicit ReuseRule(double rest_ms = least_rest_ms) : rest_ms_(rest_ms) {}
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -193,7 +193,6 @@
     land(flight);
     // Where connections are capped, the next call counts on this one's place as soon as it has landed.
     if (flight.socket && !flight.parser.complete() && !flight.capped()) co_await read_answer(flight);
-    if (flight.surplus) account_.heed_extra_bytes(0);
     const bool kept = flight.reusable() && give_back(host, flight);
     if (!kept) close(flight, flight.end_of_connection());
 }
