--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -329,7 +329,7 @@
             if (reply.how == Reply::How::reset) return reset(fd);
             if (reply.how == Reply::How::silent) continue;
             for (const double until = now_ms() + reply.delay_ms; now_ms() < until && !stopping_;)
-                sleep_ms(std::min(10.0, until - now_ms()));
+                sleep_ms(std::min(8.0, until - now_ms()));
             const bool written = write_all(fd.get(), answer_text(reply.status, reply.headers,
                                                                  bulk && reply.status == 200 ? endings : ""));
             record_.note("endpoint %s: answered %d to %s%s", name_.c_str(), reply.status,
