Write that a call was cut off, and take back none but the attempt that never went

Cause: Ledger::recover concluded in memory alone that a call which was out at the process's end may have run. The next process took over by hand-over and read "out" from the store. The module's attempt was withheld as out_already, and its verdict was written by Ledger::unsent as "nothing is out, nothing has run". Evidence: the second process's log says "withheld: out_already".

Change: recover() writes what it concludes; unsent() speaks of the attempt of its number alone; resume() writes as cut off what counts as out and whose call did not come along.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -91,11 +91,7 @@
         restored.first_risky = m.risky_wall - wall_offset_;
         restored.zone = m.risky_zone;
         restored.cut = m.cut || m.order_key != 0;
-        if (observer_ != nullptr) {
-            observer_->restored(now_, m);
-            // Said once: the next start finds it in the journal.
-            if (m.cut) ledger_.outcome(m, Result::reset);
-        }
+        if (observer_ != nullptr) observer_->restored(now_, m);
         tell(restored);
     }
     perform();
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -77,8 +77,8 @@
     void recover(const Listed& known);
     // The same of a predecessor, whose calls are still out. False: the state is not one of this module's.
     bool adopt(const CoreState& state);
-    // Once the ledger has read the store: goes on with what it holds.
-    void resume();
+    // Once the ledger has read the store: goes on with what it holds. `out`: the messages whose calls came along.
+    void resume(const std::set<MessageId>& out);
     runtime::Task<void> run();
 
     // Works off what has come in. Whether nothing is left that waits for the store or for room under a cap.
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -80,8 +80,13 @@
     for (auto& [id, m] : messages_) {
         last_id_ = std::max(last_id_, id);
         // An attempt without an outcome was out when the process ended: it may have run.
-        m.cut = m.flying && !adopted;
-        if (m.cut) note_risk(m);
+        if (m.flying && !adopted) cut_.insert(id);
+        m.cut = cut_.count(id) != 0;
+        if (m.flying && m.cut) {
+            note_risk(m);
+            // Whoever reads the store next must not take the attempt for one that is still out.
+            if (!write(state_of(m), Purpose::owed)) return false;
+        }
         if (m.ending != Ending::none) continue;
         names_.insert(m.name);
         ++held_;
@@ -258,6 +263,7 @@
 }
 
 void Ledger::unsent(Owed& m, int number) {
+    if (!m.flying || m.attempts != number + 1) return;
     m.flying = false;
     m.attempts = number;
     if (m.ending != Ending::none) return drop_if_over(m.id);
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -31,7 +31,8 @@
     // Its attempt of that number, from 0, is about to go. False: there is no record of it, and it may not.
     bool attempt(Owed& message, int number, double wall, std::uint16_t zone);
     void outcome(Owed& message, Result result);
-    // That attempt did not leave this process after all, and counts no more.
+    // The attempt of that number did not leave this process after all, and counts no more. One that is out
+    // under another number stays out.
     void unsent(Owed& message, int number);
     void end(Owed& message, Ending ending, std::uint32_t again_ms);
     // Whether the latest record of that message could not be written yet; tries again to write all such
@@ -80,6 +81,7 @@
     std::set<std::string> names_;
     std::map<MessageId, store::Batch> late_;              // what could not be written yet, whole states
     std::map<std::uint64_t, ListingState> late_leaving_;  // discovery's word that could not be written yet
+    std::set<MessageId> cut_;  // an attempt was out when the last process ended
     std::size_t held_ = 0;
     MessageId last_id_ = 0;
 };
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -38,11 +38,13 @@
     return sender_.load(state.module);
 }
 
-void Dispatcher::resume() {
+void Dispatcher::resume(const std::set<MessageId>& out) {
     now_ = scheduler_.now();
     leaving_ = ledger_.leaving();
     remember_ids();
-    for (const auto& [id, m] : ledger_.all()) {
+    for (auto& [id, m] : ledger_.all()) {
+        // Nobody has its call any more: it may have run.
+        if (m.flying && out.count(id) == 0) ledger_.outcome(m, Result::reset);
         if (m.ending != Ending::none) {
             tell_client({m.id, m.name, m.ending, m.again_ms, m.order_key});
             continue;
--- a/src/serve/moving.cpp
+++ b/src/serve/moving.cpp
@@ -184,7 +184,10 @@
     cluster_.adopt(state.cluster);
     dispatcher_.adopt(state.core);
     if (plan_) dispatcher_.plan_by(plan_);
-    dispatcher_.resume();
+    std::set<MessageId> out;
+    for (const auto& flight : state.pool.flights)
+        for (const auto& message : flight.messages) out.insert(message.id);
+    dispatcher_.resume(out);
     pool_.adopt(state.pool, luggage);
     scheduler_.spawn(cluster_.run());
     scheduler_.spawn(cluster_.watch());
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -21,7 +21,8 @@
 
 // One life of a dispatcher's ledger.
 struct Life {
-    explicit Life(Disk& disk, std::uint64_t budget = 256 * 1024, std::uint64_t segment = 8192) {
+    explicit Life(Disk& disk, std::uint64_t budget = 256 * 1024, std::uint64_t segment = 8192,
+                  bool adopts = false) {
         store::Options options;
         options.budget = budget;
         options.segment = segment;
@@ -32,7 +33,7 @@
         opened = store->open(static_cast<store::Stamp>(now), report) == store::Fault::none;
         ledger = std::make_unique<Ledger>(*store, [] { return now; });
         carried = opened && ledger->carry_over(*files);
-        recovered = carried && ledger->recover(report);
+        recovered = carried && ledger->recover(report, adopts);
     }
     Owed* take(const std::string& name) {
         Owed m;
@@ -95,6 +96,41 @@
     EXPECT_EQ(next.ledger->leaving(), (std::set<std::uint64_t>{1, 2}));
 }
 
+// Guards against a call that was out at a kill and counts as still out, or as never sent, for the process
+// after the next one: what a start concludes is written.
+TEST(Ledger, WritesThatACallWasCutOff) {
+    Disk disk;
+    {
+        Life life(disk);
+        auto* const out = life.take("out");
+        ASSERT_TRUE(life.ledger->attempt(*out, 0, now + 1, 3));
+    }
+    {
+        Life next(disk);
+        EXPECT_TRUE(next.named("out")->cut);
+    }
+    Life adopting(disk, 256 * 1024, 8192, true);
+    const auto* const out = adopting.named("out");
+    EXPECT_FALSE(out->flying);
+    EXPECT_TRUE(out->may_have_run);
+    EXPECT_EQ(out->risky_wall, now + 1);
+}
+
+// Guards against an attempt that was never recorded and takes back the one that is out.
+TEST(Ledger, AnAttemptThatNeverWentTakesNoOtherBack) {
+    Disk disk;
+    {
+        Life life(disk);
+        auto* const m = life.take("m");
+        ASSERT_TRUE(life.ledger->attempt(*m, 0, now + 1, 3));
+        life.ledger->unsent(*m, 1);
+        EXPECT_TRUE(m->flying);
+        EXPECT_EQ(m->attempts, 1);
+    }
+    Life next(disk);
+    EXPECT_TRUE(next.named("m")->may_have_run);
+}
+
 TEST(Ledger, KnowsInItsNextLifeWhatIsOwedAndHowFarItCame) {
     Disk disk;
     {
