Keep for the next process which entries of the list hold no longer, all of them

Cause: the next process begins with its config's list, and what discovery had said since was kept by the core, which hears of destinations that are awake alone (Cluster::take_line and commit tell it nothing of sleepers), by the uid alone (an endpoint that moved or changed its destination was "ready"), for an hour and of the newest 4,096 only.

Where more departed than are kept, or records were lost by damage, a mark makes the next start send nothing by its config's list before discovery's whole list has come.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -27,6 +27,10 @@
 // Of an endpoint, the same in every process.
 std::uint64_t name_of(std::string_view uid) { return store::hash_of(uid); }
 
+std::uint64_t entry_of(const HostView& host) {
+    return entry_name(host.uid, host.address, host.listing.destination);
+}
+
 std::string watch_request(std::uint32_t after) {
     return http::write_request("GET", "/discovery/hosts?stream=1&index=" + std::to_string(after),
                                {{"Host", "discovery"}}, "");
@@ -102,23 +106,62 @@
     Lists lists(*this, [&first](dispatch::Listed listed) { first = std::move(listed); });
     const bool sound = read_known(config_, lists) && lists.fits;
     finish_sweep();
+    reads_known_ = false;
     if (sound && !lists.whole.empty()) {
         if (share_ != nullptr) share_->own(lists.whole.back(), 0);
-        first = apply(lists.whole.back());
+        first = begin_with(lists.whole.back());
     }
+    return first;
+}
+
+dispatch::Listed Cluster::begin_with(const News& known) {
+    reads_known_ = true;
+    auto first = apply(known);
     reads_known_ = false;
     return first;
 }
 
-bool Cluster::is_kept_out(std::string_view uid) const {
-    if (!leaving_.empty() && leaving_.count(name_of(uid)) != 0) return true;
-    return keeps_out_ && keeps_out_(std::string(uid));
+void Cluster::begin_with_departed(const dispatch::DepartedEntries& departed, bool from_config) {
+    departures_.restore(departed);
+    trusts_known_ = !from_config || departures_.complete();
+    if (!trusts_known_)
+        runtime::log("cluster",
+                     "too much has departed since the config's list: nothing is sent before "
+                     "discovery's whole list has come");
 }
 
-// Discovery's own word goes before what an earlier process was told.
-void Cluster::heed_word(const News::Line& line) {
-    if (reads_known_ || leaving_.empty() || line.listing.state != ListingState::ready) return;
-    leaving_.erase(name_of(line.uid));
+bool Cluster::is_kept_out(const HostView& host) const {
+    if (!list_confirmed_) {
+        if (!trusts_known_ || departures_.contains(entry_of(host))) return true;
+        // As a version before kept it.
+        if (departures_.contains(name_of(host.uid))) return true;
+    }
+    return keeps_out_ && keeps_out_(std::string(host.uid));
+}
+
+// Discovery's own word on an entry, for the next process.
+void Cluster::note_entry(const HostView& host) {
+    if (reads_known_) return;
+    if (host.listing.state != ListingState::ready) return note_departed(host);
+    if (departures_.empty()) return;
+    departures_.remove(entry_of(host));
+    departures_.remove(name_of(host.uid));
+}
+
+void Cluster::note_departed(const HostView& host) {
+    if (!reads_known_) departures_.add(entry_of(host));
+}
+
+// Of a host that discovery names; `before`: as it was known.
+void Cluster::note_change(const std::optional<HostView>& before, const HostView& now) {
+    if (before && entry_of(*before) != entry_of(now)) note_departed(*before);
+    note_entry(now);
+}
+
+// Where what was kept before is to be replaced, the next process is told of it at once and in full.
+void Cluster::flush_departures() {
+    if (departures_.changes().empty() || (departures_.changes().cleared && !table_.swept())) return;
+    keep_departures_(departures_.take_changes());
 }
 
 upstream::HostState Cluster::state_of(const HostView& host) const {
@@ -128,7 +171,7 @@
     state.address = host.address;
     state.destination = line.destination;
     state.apart = line.kind < config_.settings.kinds.size() && config_.settings.kinds[line.kind].routes_apart;
-    state.ready = line.state == ListingState::ready && !is_kept_out(host.uid);
+    state.ready = line.state == ListingState::ready && !is_kept_out(host);
     state.gone = line.state == ListingState::gone;
     state.wait_until = line.wait_until;
     return state;
@@ -162,12 +205,14 @@
 
 // False: there is no room for it.
 bool Cluster::take_line(const News::Line& line, std::vector<Listing>& lines) {
-    heed_word(line);
     const auto before = table_.find(line.uid);
     if (before == no_slot && table_full()) return false;
+    // The view's uid is the line's own: the table's is gone with its record.
+    auto known = before == no_slot ? std::nullopt : table_.at(before);
+    if (known) known->uid = line.uid;
     // Under another destination it is another host.
-    if (before != no_slot) {
-        const auto was = *table_.at(before);
+    if (known) {
+        const auto was = *known;
         if (was.listing.destination != line.listing.destination) {
             if (awake_.count(was.listing.destination) != 0) {
                 tell_gone(was, lines);
@@ -179,31 +224,50 @@
     std::vector<Slot> left;
     const auto slot = table_.put(line.uid, line.address, line.listing, scheduler_.now(), left);
     if (slot == no_slot) return true;
-    for (const auto other : left)
-        if (const auto host = *table_.at(other); awake_.count(host.listing.destination) != 0)
-            tell_gone(host, lines);
+    for (const auto other : left) {
+        const auto host = *table_.at(other);
+        note_departed(host);
+        if (awake_.count(host.listing.destination) != 0) tell_gone(host, lines);
+    }
     all_awake_ = all_awake_ && table_.size() <= most_all_awake;
     const auto host = *table_.at(slot);
+    note_change(known, host);
     if (all_awake_) awake_.insert(host.listing.destination);
     if (awake_.count(host.listing.destination) != 0) tell_host(host, lines);
     return true;
 }
 
 bool Cluster::stage(const News::Line& line) {
-    heed_word(line);
     if (table_full()) return false;
     table_.stage(line.uid, line.address, line.listing);
     return true;
 }
 
+// True: nothing is left of the last whole list to be worked off.
+bool Cluster::sweep(std::size_t most) {
+    const bool done =
+        table_.sweep(most, scheduler_.now(), [this](const HostView& host) { note_entry(host); });
+    flush_departures();
+    return done;
+}
+
 void Cluster::finish_sweep() {
-    while (!table_.sweep(sweep_slice, scheduler_.now())) continue;
+    while (!sweep(sweep_slice)) continue;
+}
+
+// From now on the table is discovery's word. What the next process has to know of the config's list is told
+// anew where it was not complete: the sweep finds all of it.
+void Cluster::confirm_list() {
+    list_confirmed_ = true;
+    if (std::exchange(trusts_known_, true)) return;
+    departures_.clear();
 }
 
 // The staged list holds from now on: what it changes for those that are awake. It costs what is awake; the
 // table's sweep does the rest, in slices.
 dispatch::Listed Cluster::commit() {
     table_.commit();
+    if (!reads_known_) confirm_list();
     dispatch::Listed listed;
     listed.whole = true;
     all_awake_ = table_.size() <= (all_awake_ ? most_all_awake : few_again);
@@ -242,6 +306,7 @@
         finish_sweep();
     } else {
         for (const auto& line : news.lines) fits = take_line(line, listed.lines) && fits;
+        flush_departures();
     }
     if (!fits) tell_full();
     if (fits || !news.whole) version_ = news.version;
@@ -364,8 +429,7 @@
 runtime::Task<void> Cluster::run() {
     for (;;) {
         if (!table_.staging()) {
-            table_.sweep(sweep_slice, scheduler_.now());
-            if (table_.swept()) {
+            if (sweep(sweep_slice)) {
                 while (auto news = mailbox_.take()) tell_(apply(*news));
                 auto listed = forget_gone();
                 if (!listed.forgotten.empty() || !listed.lines.empty()) {
@@ -379,7 +443,7 @@
 }
 
 runtime::Task<void> Cluster::watch() {
-    asked_ = version_;
+    asked_ = trusts_known_ ? version_ : 0;
     // What ran before the loop may have taken long, as a large list in the config does: a call's limits count
     // from now, not from the loop's last turn.
     co_await runtime::next_turn(scheduler_);
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "cluster/departures.hpp"
 #include "cluster/list_reader.hpp"
 #include "cluster/news.hpp"
 #include "cluster/pace.hpp"
@@ -61,9 +62,16 @@
     void hear(News news) { mailbox_.put(std::move(news)); }
     // The list that the config has, as if it came from the agent.
     dispatch::Listed begin_with_known();
-    // Endpoints that an earlier process was told leave, by Listing::name: as if the config's list said so,
-    // until discovery says that one is ready.
-    void begin_with_leaving(std::set<std::uint64_t> names) { leaving_ = std::move(names); }
+    // The same of a list that was read already.
+    dispatch::Listed begin_with(const News& known);
+    // Entries that an earlier process was told hold no longer: nothing is sent to them until discovery lists
+    // them as ready. `from_config`: this process begins with the list of its config, of which nothing is
+    // believed before discovery's whole list where the entries are not complete.
+    void begin_with_departed(const dispatch::DepartedEntries& departed, bool from_config);
+    // Told what the next process has to know of them.
+    void departures_to(std::function<void(const dispatch::DepartureChange&)> keep) {
+        keep_departures_ = std::move(keep);
+    }
     // What keeps a host out that discovery lists as ready, by its uid: it is as one that drains.
     using KeepsOut = std::function<bool(const std::string& uid)>;
     void keep_out(KeepsOut keeps) { keeps_out_ = std::move(keeps); }
@@ -103,16 +111,24 @@
     runtime::Mailbox<News> mailbox_;
     Tell tell_;
     KeepsOut keeps_out_;
-    std::set<std::uint64_t> leaving_;
-    bool reads_known_ = false;  // the config's list, which may be old
-    bool is_kept_out(std::string_view uid) const;
-    void heed_word(const News::Line& line);
+    Departures departures_;
+    std::function<void(const dispatch::DepartureChange&)> keep_departures_ =
+        [](const dispatch::DepartureChange&) {};
+    bool reads_known_ = false;     // the config's list, which may be old
+    bool trusts_known_ = true;     // that list, but for what has departed
+    bool list_confirmed_ = false;  // a whole list of discovery's holds
+    bool is_kept_out(const HostView& host) const;
+    void note_entry(const HostView& host);
+    void note_departed(const HostView& host);
+    void flush_departures();
+    bool sweep(std::size_t most);
     Share* share_ = nullptr;
     upstream::HostState state_of(const HostView& host) const;
     // To the pool, and as a line for the core.
     void tell_host(const HostView& host, std::vector<Listing>& lines);
     void tell_gone(const HostView& host, std::vector<Listing>& lines);
     bool take_line(const News::Line& line, std::vector<Listing>& lines);
+    void note_change(const std::optional<HostView>& before, const HostView& now);
     bool stage(const News::Line& line);
     void begin_whole(std::vector<News> before);
     dispatch::Listed end_whole(std::uint32_t version);
@@ -120,6 +136,7 @@
     void tell_full();
     void finish_sweep();
     dispatch::Listed commit();
+    void confirm_list();
     void wake_all(dispatch::Listed& listed);
     void look_at(const HostView& host, dispatch::Listed& listed);
     void tell_again(dispatch::Listed listed);
--- a/src/cluster/table.cpp
+++ b/src/cluster/table.cpp
@@ -100,8 +100,12 @@
 }
 
 std::optional<HostView> Table::at(Slot slot) const {
+    if (!holds(record(slot))) return std::nullopt;
+    return view_of(slot);
+}
+
+HostView Table::view_of(Slot slot) const {
     const auto& r = record(slot);
-    if (!holds(r)) return std::nullopt;
     HostView host;
     host.uid = r.uid.view();
     host.address = {r.ip, r.port};
@@ -420,7 +424,7 @@
     }
 }
 
-bool Table::sweep(std::size_t most, Time now) {
+bool Table::sweep(std::size_t most, Time now, const Visit& visit) {
     if (phase_ == Phase::settled) return true;
     const auto until = most < end_ - sweep_at_ ? sweep_at_ + static_cast<Slot>(most) : end_;
     for (; sweep_at_ < until; ++sweep_at_) {
@@ -441,7 +445,12 @@
                 continue;
             }
         } else if (r.named != current_) {
-            if (find(r.uid.view()) != no_slot) {
+            if (const auto next = find(r.uid.view()); next != no_slot) {
+                if (!same_entry(record(next), r)) {
+                    auto former = view_of(sweep_at_);
+                    former.listing.state = ListingState::gone;
+                    visit(former);
+                }
                 remove(sweep_at_, true);
                 continue;
             }
@@ -455,6 +464,7 @@
             gone_.push_back({now, sweep_at_});
         }
         r.named = r.born = current_;
+        if (phase_ == Phase::committed) visit(view_of(sweep_at_));
     }
     if (sweep_at_ < end_) return false;
     phase_ = Phase::settled;
--- a/src/cluster/table.hpp
+++ b/src/cluster/table.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <string_view>
@@ -70,7 +71,11 @@
     bool staging() const { return phase_ == Phase::staging; }
     bool swept() const { return phase_ == Phase::settled; }
     // Works off at most so many records after commit() or abort(). True: done, it may begin anew.
-    bool sweep(std::size_t most, Time now);
+    // `visit`: told of each host of the new list and of those that it does not name any more, which are gone;
+    // of one whose address or destination is another now, both as it was, gone, and as it is.
+    using Visit = std::function<void(const HostView&)>;
+    bool sweep(
+        std::size_t most, Time now, const Visit& visit = [](const HostView&) {});
 
     // ---- what holds
     std::optional<HostView> at(Slot slot) const;  // nothing: not of the list that holds
@@ -149,6 +154,10 @@
     Time unpacked(std::uint32_t at) const;
     Time gone_since(Slot slot) const;
 
+    HostView view_of(Slot slot) const;
+    bool same_entry(const Record& a, const Record& b) const {
+        return a.ip == b.ip && a.port == b.port && a.destination == b.destination;
+    }
     template <class IsIt>
     Slot find_uid(std::string_view uid, const IsIt& is_it) const;
     Slot head_of(DestinationId destination) const;
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -155,9 +155,16 @@
     unrecorded_.push_back({std::move(notice), due});
 }
 
+void Dispatcher::retry_records() {
+    if (ledger_.settled()) return;
+    try_records_at_ = scheduler_.now() + record_retry_ms;
+    waker_.notify();
+}
+
 void Dispatcher::notify_recorded() {
-    if (unrecorded_.empty() || now_ < try_records_at_) return;
+    if (!has_late_records() || now_ < try_records_at_) return;
     try_records_at_ = now_ + record_retry_ms;
+    ledger_.write_late();
     for (auto& end : std::exchange(unrecorded_, {})) {
         if (now_ < end.until && ledger_.unwritten(end.notice.id))
             unrecorded_.push_back(std::move(end));
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -47,7 +47,6 @@
 
 void Dispatcher::recover(const Listed& known) {
     now_ = scheduler_.now();
-    leaving_ = ledger_.leaving();
     // Once a life: a step of the wall clock while it runs moves no deadline.
     wall_offset_ = ledger_.wall_now() - runtime::steady_now();
     on(known);
@@ -116,7 +115,7 @@
 runtime::Task<void> Dispatcher::run() {
     const double tick = std::max(1.0, settings_.tick_ms);
     for (;;) {
-        const Time records = unrecorded_.empty() ? never : try_records_at_;
+        const Time records = has_late_records() ? try_records_at_ : never;
         const Time due = std::min({records, timers_.empty() ? never : timers_.begin()->first,
                                    parked_until_.empty() ? never : parked_until_.begin()->first,
                                    naps_.empty() ? never : naps_.front().first});
@@ -514,20 +513,8 @@
     if (observer_ != nullptr) observer_->sleeps(now_, v.id, until, v.wait_ms > 0);
 }
 
-// By discovery's word, for the next process.
-void Dispatcher::note_leaving(const Listing& line) {
-    const bool leaves = line.state != ListingState::ready;
-    if (line.name == 0 || leaves == (leaving_.count(line.name) != 0)) return;
-    if (leaves)
-        leaving_.insert(line.name);
-    else
-        leaving_.erase(line.name);
-    ledger_.note_leaving(line.name, line.state);
-}
-
 void Dispatcher::on(const Listed& listed) {
     for (const auto& line : listed.lines) {
-        if (!listed.from_config) note_leaving(line);
         hosts_[line.endpoint.address] = line;
         if (awake_.emplace(line.destination, now_).second && directory_ != nullptr)
             naps_.emplace_back(now_ + rest_ms_, line.destination);
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -81,6 +81,8 @@
     void resume(const std::set<MessageId>& out);
     runtime::Task<void> run();
 
+    // The ledger holds what the store has not taken yet: it is tried again soon.
+    void retry_records();
     // Works off what has come in. Whether nothing is left that waits for the store or for room under a cap.
     bool settle();
     CoreState save() const;
@@ -181,6 +183,7 @@
     void release_durable();
     void notify_when_recorded(Notice notice, Time due);
     void notify_recorded();
+    bool has_late_records() const { return !unrecorded_.empty() || !ledger_.settled(); }
     void hand_over(Call call);
     void tell_client(Notice notice);
     void answer_taken(MessageId id, std::weak_ptr<Client> client);
@@ -188,7 +191,6 @@
     std::uint64_t order_key_of(const Submission& submission) const;
     void hold_turn(const Owed& message, bool OpenEnd::*because);
     void let_turn_go(MessageId id, bool OpenEnd::*because);
-    void note_leaving(const Listing& line);
     bool take_verdict(Owed& message, const Verdict& verdict);
     void end_over(Owed& m, const Verdict& v);
     void end_delivered(Owed& message, const Verdict& verdict);
@@ -225,7 +227,7 @@
         Time until = 0;
     };
     std::vector<Unrecorded> unrecorded_;
-    Time try_records_at_ = 0;
+    Time try_records_at_ = 0;  // what the store did not take
     Time now_ = 0;
     double wall_offset_ = 0;  // wall clock less steady clock
     std::vector<Action> actions_;
@@ -244,7 +246,6 @@
     std::map<Route, std::deque<Parked>> parked_;
     std::multimap<Time, Route> parked_until_;
     std::unordered_map<std::uint32_t, Listing> hosts_;
-    std::set<std::uint64_t> leaving_;  // as the store has them, by Listing::name
     // Destinations that the module knows, and when a message last came for each; one may be without hosts for
     // a while. Those that rest for long enough sleep, where the directory lets them.
     std::map<DestinationId, Time> awake_;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -62,6 +62,12 @@
     std::size_t suspects = 0, orphans = 0;
     std::vector<MessageId> strays;
     const auto below = found.suspect_below;
+    if (below && !adopted) {
+        // Among what is lost may be that an entry departed.
+        DepartureChange unknown;
+        unknown.incomplete = true;
+        if (!write(batch_of(unknown), Purpose::owed)) return false;
+    }
     Messages::each(
         store_, [](auto, const auto&, const auto&) {}, unreadable);
     Progresses::each(
@@ -168,34 +174,57 @@
     return ids;
 }
 
-void Ledger::note_leaving(std::uint64_t endpoint, ListingState state) {
-    late_leaving_.insert_or_assign(endpoint, state);
+void DepartureChange::add(const DepartureChange& later) {
+    if (later.cleared) *this = {};
+    cleared = cleared || later.cleared;
+    incomplete = incomplete || later.incomplete;
+    for (const auto& [entry, has_departed] : later.departed) departed.insert_or_assign(entry, has_departed);
+}
+
+void Ledger::note_departures(const DepartureChange& change) {
+    late_departures_.add(change);
     flush_late();
 }
 
-std::set<std::uint64_t> Ledger::leaving() const {
-    std::set<std::uint64_t> all;
+DepartedEntries Ledger::departed() const {
+    DepartedEntries all;
     Leaving::each(
-        store_, [&](std::uint64_t endpoint, ListingState, const store::Entry&) { all.insert(endpoint); },
-        [](std::string_view) {});
+        store_,
+        [&](std::uint64_t entry, ListingState, const store::Entry&) {
+            if (entry == no_entry)
+                all.complete = false;
+            else
+                all.names.insert(entry);
+        },
+        [&](std::string_view) { all.complete = false; });
     return all;
 }
 
+Batch Ledger::batch_of(const DepartureChange& change) const {
+    Batch batch;
+    if (change.cleared) {
+        const auto kept = departed();
+        for (const auto entry : kept.names) Leaving::erase(batch, entry);
+        if (!kept.complete) Leaving::erase(batch, no_entry);
+    }
+    if (change.incomplete) Leaving::put(batch, no_entry, ListingState::gone, stamp());
+    for (const auto& [entry, has_departed] : change.departed) {
+        if (has_departed)
+            Leaving::put(batch, entry, ListingState::gone, stamp());
+        else
+            Leaving::erase(batch, entry);
+    }
+    return batch;
+}
+
 bool Ledger::flush_late() {
     while (!late_.empty()) {
         if (!store_.write(late_.begin()->second, Purpose::owed)) return false;
         late_.erase(late_.begin());
     }
-    while (!late_leaving_.empty()) {
-        const auto& [endpoint, state] = *late_leaving_.begin();
-        Batch batch;
-        if (state == ListingState::ready)
-            Leaving::erase(batch, endpoint);
-        else
-            Leaving::put(batch, endpoint, state, stamp());
-        if (!store_.write(batch, Purpose::owed)) return false;
-        late_leaving_.erase(late_leaving_.begin());
-    }
+    if (late_departures_.empty()) return true;
+    if (!store_.write(batch_of(late_departures_), Purpose::owed)) return false;
+    late_departures_ = {};
     return true;
 }
 
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "dispatch/departed.hpp"
 #include "dispatch/records.hpp"
 #include "store/store.hpp"
 
@@ -47,7 +48,7 @@
     bool owes(const std::string& name) const { return names_.count(name) != 0; }
     std::size_t held() const { return held_; }  // not ended
     bool settled() const {
-        return late_.empty() && late_leaving_.empty();
+        return late_.empty() && late_departures_.empty();
     }  // the store has all that has happened
     std::map<MessageId, Owed>& all() { return messages_; }
     MessageId next_id() const { return last_id_ + 1; }
@@ -59,9 +60,12 @@
         double wall = 0;
     };
     std::vector<SeenId> seen() const;
-    // What discovery says of an endpoint, where that is that it leaves or that it does no longer.
-    void note_leaving(std::uint64_t endpoint, ListingState state);
-    std::set<std::uint64_t> leaving() const;
+    // Entries of discovery's list that hold no longer, and what changes in them. What the store does not take
+    // at once is written before anything else is.
+    void note_departures(const DepartureChange& change);
+    DepartedEntries departed() const;
+    // Tries to write what the store has not taken yet. Whether it has all.
+    bool write_late() { return flush_late(); }
     double wall_now() const { return wall_(); }
     // The version behind everything written so far.
     store::Version written() const { return store_.next(); }
@@ -70,6 +74,7 @@
     bool write(const store::Batch& batch, store::Purpose purpose);
     void write_surely(MessageId id, store::Batch batch);
     bool flush_late();
+    store::Batch batch_of(const DepartureChange& change) const;
     void drop_if_over(MessageId id);
     store::Stamp stamp() const { return static_cast<store::Stamp>(wall_()); }
     store::Batch state_of(const Owed& message) const;
@@ -79,9 +84,9 @@
     std::function<double()> wall_;
     std::map<MessageId, Owed> messages_;
     std::set<std::string> names_;
-    std::map<MessageId, store::Batch> late_;              // what could not be written yet, whole states
-    std::map<std::uint64_t, ListingState> late_leaving_;  // discovery's word that could not be written yet
-    std::set<MessageId> cut_;  // an attempt was out when the last process ended
+    std::map<MessageId, store::Batch> late_;  // what could not be written yet, whole states
+    DepartureChange late_departures_;         // that could not be written yet
+    std::set<MessageId> cut_;                 // an attempt was out when the last process ended
     std::size_t held_ = 0;
     MessageId last_id_ = 0;
 };
--- a/src/dispatch/moving.cpp
+++ b/src/dispatch/moving.cpp
@@ -40,7 +40,6 @@
 
 void Dispatcher::resume(const std::set<MessageId>& out) {
     now_ = scheduler_.now();
-    leaving_ = ledger_.leaving();
     remember_ids();
     for (auto& [id, m] : ledger_.all()) {
         // Nobody has its call any more: it may have run.
--- a/src/dispatch/records.cpp
+++ b/src/dispatch/records.cpp
@@ -121,13 +121,12 @@
 }
 
 std::vector<store::KeyspaceRule> ledger_keyspaces() {
-    return {
-        {MessageCodec::id, "message", {}, false},
-        {ProgressCodec::id, "progress", {}, false},
-        {NoticeCodec::id, "notice", {}, false},
-        {SeenCodec::id, "seen", {static_cast<store::Stamp>(remembered_ms), most_remembered, 0}, true},
-        {LeavingCodec::id, "leaving", {static_cast<store::Stamp>(leaving_kept_ms), most_leaving, 0}, true},
-        {meta_keyspace, "meta", {}, false}};
+    return {{MessageCodec::id, "message", {}, false},
+            {ProgressCodec::id, "progress", {}, false},
+            {NoticeCodec::id, "notice", {}, false},
+            {SeenCodec::id, "seen", {static_cast<store::Stamp>(remembered_ms), most_remembered, 0}, true},
+            {LeavingCodec::id, "leaving", {}, true},
+            {meta_keyspace, "meta", {}, false}};
 }
 
 void note_risk(Standing& m) {
--- a/src/dispatch/records.hpp
+++ b/src/dispatch/records.hpp
@@ -74,16 +74,15 @@
     static std::string value(const Value& print) { return store::ValueWriter().number(print).take(); }
     static std::optional<Value> value(std::string_view bytes);
 };
-// An endpoint that discovery said to leave, by its name: the next process, which begins with the list of its
-// config and may not hear discovery for long, sends nothing there.
+// An entry of discovery's list that holds no longer, by its name; under the name 0: more departed than are
+// kept. The next process, which begins with the list of its config and may not hear discovery for long, sends
+// nothing there. Versions before wrote endpoints that leave, by a name of their uids alone.
 struct LeavingCodec : ById {
     using Value = ListingState;
     static constexpr std::uint8_t id = 6;
     static std::string value(ListingState state);
     static std::optional<ListingState> value(std::string_view bytes);
 };
-constexpr double leaving_kept_ms = 3600000;
-constexpr std::size_t most_leaving = 4096;
 
 // Under the key "journal": the journal of the version before is in the store, whole.
 constexpr std::uint8_t meta_keyspace = 5;
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -125,6 +125,10 @@
     pool_.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
     pool_.call_ended_to([&](MessageId id) { core.put(dispatch::CallEnded{id}); });
     notices_.report_to([&](dispatch::Told told) { core.put(std::move(told)); });
+    cluster_.departures_to([&](const dispatch::DepartureChange& change) {
+        ledger_.note_departures(change);
+        dispatcher_.retry_records();
+    });
     cluster_.tell_to([&](dispatch::Listed listed) { core.put(std::move(listed)); });
     server_.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server_.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
@@ -214,7 +218,7 @@
 
 void Life::start_anew() {
     listen_with_patience([this] { return server_.listen(listen_); }, "on " + config_.listen);
-    cluster_.begin_with_leaving(ledger_.leaving());
+    cluster_.begin_with_departed(ledger_.departed(), true);
     auto first = cluster_.begin_with_known();
     first.from_config = true;
     scheduler_.spawn(cluster_.run());
--- a/src/serve/moving.cpp
+++ b/src/serve/moving.cpp
@@ -180,7 +180,7 @@
 
 void Life::resume() {
     auto& [state, luggage] = *taken_;
-    cluster_.begin_with_leaving(ledger_.leaving());
+    cluster_.begin_with_departed(ledger_.departed(), false);
     cluster_.adopt(state.cluster);
     dispatcher_.adopt(state.core);
     if (plan_) dispatcher_.plan_by(plan_);
--- a/tests/core_faults_test.cpp
+++ b/tests/core_faults_test.cpp
@@ -208,18 +208,15 @@
         if (call == Disk::Call::append) fate.error = -EIO;
         return fate;
     });
-    dispatch::Listed word;
-    word.lines.emplace_back();
-    word.lines.back().endpoint = {1, 0};
-    word.lines.back().destination = 1;
-    word.lines.back().name = 7;
-    word.lines.back().state = ListingState::draining;
-    core.dispatcher.mailbox().put(word);
+    dispatch::DepartureChange word;
+    word.departed[7] = true;
+    core.ledger.note_departures(word);
+    core.dispatcher.retry_records();
     core.await([] { return false; }, 50);
-    EXPECT_EQ(core.ledger.leaving().count(7), 0U);
+    EXPECT_EQ(core.ledger.departed().names.count(7), 0U);
     disk.follow({});
-    core.submit("m1");
-    EXPECT_TRUE(core.await([&] { return core.ledger.leaving().count(7) == 1; }, 500));
+    // Without a message that would have another record written.
+    EXPECT_TRUE(core.await([&] { return core.ledger.departed().names.count(7) == 1; }, 500));
 }
 
 // The module's word alone does not send: what the core knows of a key holds too, and is forgotten with it.
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -82,18 +82,34 @@
     EXPECT_EQ(next.named("ended")->ending, Ending::failed);
 }
 
-// What discovery said of an endpoint outlasts the process that heard it, and a word that takes it back too.
-TEST(Ledger, KeepsWhoLeaves) {
+// What discovery said of an entry outlasts the process that heard it, and a word that takes it back too.
+TEST(Ledger, KeepsWhatDeparted) {
     Disk disk;
     {
         Life life(disk);
-        life.ledger->note_leaving(1, ListingState::draining);
-        life.ledger->note_leaving(2, ListingState::gone);
-        life.ledger->note_leaving(3, ListingState::draining);
-        life.ledger->note_leaving(3, ListingState::ready);
+        dispatch::DepartureChange change;
+        change.departed = {{1, true}, {2, true}, {3, true}};
+        life.ledger->note_departures(change);
+        change.departed = {{3, false}};
+        life.ledger->note_departures(change);
+    }
+    {
+        Life next(disk);
+        EXPECT_EQ(next.ledger->departed().names, (std::set<std::uint64_t>{1, 2}));
+        EXPECT_TRUE(next.ledger->departed().complete);
+        dispatch::DepartureChange change;
+        change.incomplete = true;
+        next.ledger->note_departures(change);
+        EXPECT_FALSE(next.ledger->departed().complete);
     }
     Life next(disk);
-    EXPECT_EQ(next.ledger->leaving(), (std::set<std::uint64_t>{1, 2}));
+    EXPECT_FALSE(next.ledger->departed().complete);
+    dispatch::DepartureChange change;
+    change.cleared = true;
+    change.departed = {{4, true}};
+    next.ledger->note_departures(change);
+    EXPECT_TRUE(next.ledger->departed().complete);
+    EXPECT_EQ(next.ledger->departed().names, (std::set<std::uint64_t>{4}));
 }
 
 // Guards against a call that was out at a kill and counts as still out, or as never sent, for the process
