Reset a call that is given up, and bound for how long its bytes may arrive

Cause: Pool::close gave a call up by a plain close; the system delivers what it holds for as long as it tries. Nothing bounded the arrival of a call that was still out, or whose process was killed.

--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int backlog = 511;
+constexpr double most_undelivered_ms = 24 * 3600 * 1000.0;
 constexpr int accept_tries = 16;  // in a row that bring nothing
 
 sockaddr_in native(Address address) {
@@ -112,6 +114,17 @@
     fd_.reset();
 }
 
+void Socket::limit_undelivered(double ms) {
+    const auto limit = static_cast<unsigned>(std::clamp(ms, 1.0, most_undelivered_ms));
+    ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
+void Socket::abort() {
+    const linger at_once{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
 Transfer Socket::read(char* into, std::size_t size) {
     for (;;) {
         const auto got = ::recv(fd_.get(), into, size, 0);
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -47,7 +47,14 @@
     bool readable() const;     // bytes, an end or a failure wait to be read
     void end_sending();
     void close();
+    // What is written from now on and the peer's system has not taken after so long (ms, 1 at least) is given
+    // up, and the connection with it; also once this process is gone. A system that does not know how goes on
+    // trying.
+    void limit_undelivered(double ms);
     int fd() const { return fd_.get(); }
+    // Closes it with a reset: what the peer's system has not taken yet is never delivered, and neither is
+    // what waits here to be read.
+    void abort();
 
 private:
     Io state_after(int error);
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+// Until when the call's bytes may arrive, whatever becomes of this process: while it is waited for, and a
+// repeat while its partner drops repeats.
+Time Pool::arrives_by(const Flight& flight) {
+    return std::min(flight.expires, flight.start_by + policy::held_up_ms);
+}
+
 std::string Pool::request_of(const Flight& flight) const {
     if (flight.bulk()) {
         std::string body;
@@ -150,7 +156,11 @@
 
 void Pool::close(Flight& flight, ClosedBy by) {
     if (!flight.socket) return;
-    flight.socket.close();
+    // What was written and has not arrived must not arrive once the call has been given up.
+    if (by == ClosedBy::call_failed)
+        flight.socket.abort();
+    else
+        flight.socket.close();
     account_.count_end({flight.connection, flight.call.host, by, flight.calls_before + 1, 0});
 }
 
@@ -242,6 +252,7 @@
         flight.rest = request_of(flight);
         flight.stage = Flight::Stage::writing;
         ended.cause = Cause::none;
+        flight.socket.limit_undelivered(arrives_by(flight) - runtime::steady_now());
     }
     if (flight.stage == Flight::Stage::writing) {
         const bool written = co_await write_rest(flight);
--- a/src/upstream/pool.hpp
+++ b/src/upstream/pool.hpp
@@ -129,6 +129,7 @@
     using HostPtr = std::shared_ptr<Host>;  // its actor and each of its calls hold it
 
     std::string request_of(const Flight& flight) const;
+    static Time arrives_by(const Flight& flight);
     runtime::Task<void> run(HostPtr host);
     runtime::Task<void> carry(HostPtr host, dispatch::Call call);
     runtime::Task<void> go_on(HostPtr host, std::shared_ptr<Flight> flight, bool whole);
