Let messages share a call only within the 64 KiB of a body

Cause: Choice::send and Dispatcher::send filled a call by the number of its messages alone.

The state that travels between processes has format 8.

--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -106,8 +106,12 @@
     std::uint64_t key = 0;  // 0: none
     Time due = 0;
     DestinationId destination = 0;
+    std::uint32_t bytes = 0;  // that it takes in a call that it shares; see most_call_bytes
 };
 
+// Bytes that messages which share a call take in it at most. One beyond that goes alone.
+constexpr std::size_t most_call_bytes = 64 * 1024;
+
 // spoilt: it ran, or may have, and an answer came that cannot be read; says nothing of the endpoint's health.
 enum class Result { ok, error, full, timeout, connect_failed, reset, cancelled, moot, spoilt };
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -412,6 +412,7 @@
         d.arrivals = arrivals(d) + 1 / arrivals_ms;
         d.arrived = now_;
         m.due = a.due;
+        m.bytes = a.bytes;
         m.group = 2 * a.message_class + (beyond_share(a.tenant) ? 1 : 0);
         if (s_.classes[a.message_class].in_order) m.key = a.key;
         set_timer(last_moment(m), TimerKind::deadline, m.id);
@@ -665,6 +666,7 @@
             for (std::size_t g = 0; g < d.ready.size(); ++g) {
                 if (d.ready[g].empty()) continue;
                 auto& m = messages_.at(candidate(d.ready[g], lane, static_cast<int>(g) / 2));
+                if (calls_[call].bytes + m.bytes > most_call_bytes) continue;
                 if (may_repeat(lane, endpoints_[endpoint], m) > now_ || worth_at(m, now_) <= worth) continue;
                 next = &m;
                 worth = worth_at(m, now_);
@@ -699,6 +701,7 @@
         m.call = call;
         ++m.attempts;
         ++calls_[call].flying;
+        calls_[call].bytes += m.bytes;
         const Time expires = std::min(m.due, now_ + patience);
         act(Attempt{m.id, endpoints_[endpoint].id, expires, last_call(m), m.attempts - 1});
     }
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -10,6 +10,13 @@
 
 constexpr double record_retry_ms = 20;  // between two tries to write what the store did not take
 
+// Whether a call that messages share has room for one more.
+bool fits(const Call& call, const Owed& m) {
+    std::size_t bytes = shared_bytes(m.name, m.key, *m.body);
+    for (const auto& beside : call.messages) bytes += shared_bytes(beside.name, beside.key, *beside.body);
+    return bytes <= most_call_bytes;
+}
+
 }  // namespace
 
 void Dispatcher::plan_by(std::shared_ptr<const plan::Plan> plan, const std::map<std::string, double>& parts) {
@@ -55,7 +62,7 @@
     // A connection carries one call.
     const auto cap = pool ? pool->calls_per_host.value_or(pool->connections_per_host.value_or(0)) : 0;
     auto& calls = calls_[route];
-    const bool fresh = calls.empty() || calls.back().messages.size() >= room;
+    const bool fresh = calls.empty() || calls.back().messages.size() >= room || !fits(calls.back(), *m);
     if (fresh && cap > 0 && open_calls_[route] >= cap) {
         // It has not begun: no record says that it has.
         const Time due = m->due_wall - wall_offset_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -87,6 +87,7 @@
         restored.message.due = m.due_wall - wall_offset_;
         restored.attempts = m.attempts;
         restored.may_have_run = m.may_have_run;
+        restored.message.bytes = shared_bytes(m.name, m.key, *m.body);
         restored.first_risky = m.risky_wall - wall_offset_;
         restored.zone = m.risky_zone;
         restored.cut = m.cut || m.order_key != 0;
@@ -342,6 +343,7 @@
     coming_.insert(m.name);
     candidates_.emplace(arrival.id, std::move(candidate));
     tell(arrival);
+    arrival.bytes = shared_bytes(m.name, m.key, *m.body);
 }
 
 // 0: its class keeps no order, or its client named no key.
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -77,6 +77,12 @@
     std::shared_ptr<const plan::PoolRule> pool;  // whose connection settings hold; none: the dispatcher's own
 };
 
+// Bytes that a message takes in a call that it shares: its texts, and at most so many round them.
+constexpr std::size_t most_round_message = 16;
+inline std::uint32_t shared_bytes(const std::string& name, const std::string& key, const std::string& body) {
+    return static_cast<std::uint32_t>(name.size() + key.size() + body.size() + most_round_message);
+}
+
 // How far an attempt came when it ended.
 enum class Progress : std::uint8_t { not_connected, connected, partly_written, fully_written, answered };
 
--- a/src/handover/decide.hpp
+++ b/src/handover/decide.hpp
@@ -9,7 +9,7 @@
 namespace brasslift::handover {
 
 // Of the packed state. Counted up with every change of a structure that travels; a test holds it to that.
-constexpr std::uint32_t format = 7;
+constexpr std::uint32_t format = 8;
 
 struct Hello {
     std::uint32_t format = 0;
--- a/src/policy/parts.hpp
+++ b/src/policy/parts.hpp
@@ -84,7 +84,8 @@
     int message_class = 0, destination = 0, group = 0;
     std::uint64_t key = 0, call = 0;
     Time due = 0, sent = 0, wakes = 0, first_risky = never;
-    std::uint16_t zone = 0;  // of the first attempt that may have run
+    std::uint16_t zone = 0;   // of the first attempt that may have run
+    std::uint32_t bytes = 0;  // that it takes in a call that it shares
     State state = State::ready;
     int attempts = 0, endpoint = -1;
     EndpointId avoid;  // the endpoint that failed it last
@@ -92,7 +93,8 @@
 };
 
 struct Call {
-    int flying = 0;  // messages without an outcome
+    int flying = 0;         // messages without an outcome
+    std::size_t bytes = 0;  // that its messages take
     bool broken = false;
 };
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -114,6 +114,28 @@
               "");
 }
 
+// Guards against calls that are larger than any body may be: the endpoint takes none of them.
+TEST(Dispatcher, MessagesShareACallOnlyWithinTheLimitOfABody) {
+    EXPECT_EQ(play(R"(
+        start
+        c1 post payment m1 8000m 1
+        h expect Req-Id: m1
+        c2 post safe m2 8000m 1 40000
+        c3 post safe m3 8000m 1 40000
+        c2 expect 202
+        c3 expect 202
+        h answer 200
+        h expect POST /inbox HTTP/1.1
+        h expect Req-Id: m
+        h answer 200
+        h expect POST /inbox HTTP/1.1
+        h expect Req-Id: m
+        h answer 200
+        h absent POST 300
+    )"),
+              "");
+}
+
 TEST(Dispatcher, SendsNoticesUntilTheyAreTaken) {
     EXPECT_EQ(play(R"(
         start
