Send nothing to an address that its endpoint has left, and take no foreign changes

Cause: Pool::give_back kept a connection whose endpoint had moved while its call was out; before_first_byte did not look at the address of a connection that came up late; the first object of a watch was taken whatever its version.

Change: such a connection is closed, such a call withheld unsent, and behind changes up to a version before the one asked for the whole list is asked for.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -50,6 +50,10 @@
 
     void begin(const ListHead& head) override {
         coming = {head.whole, head.version, {}};
+        // Changes up to a version before the one that was asked for: of an agent that does not know the lists
+        // that this process has heard.
+        foreign = foreign || (!latest && !head.whole && head.version < cluster.asked_);
+        if (foreign) return;
         // Versions grow within one watch: an older one is a second copy of what was heard before.
         stale = latest && head.version < *latest;
         if (stale) return;
@@ -57,7 +61,7 @@
         if (staging) cluster.begin_whole(std::exchange(whole, {}));
     }
     void line(News::Line&& line) override {
-        if (stale) return;
+        if (stale || foreign) return;
         if (!staging)
             coming.lines.push_back(std::move(line));
         else
@@ -65,7 +69,7 @@
     }
     void end() override {
         if (left_out != nullptr && left_out->any()) runtime::log("cluster", "%s", as_text(*left_out).c_str());
-        if (stale) return;
+        if (stale || foreign) return;
         if (!fits) return cut({});
         latest = coming.version;
         if (std::exchange(staging, false))
@@ -81,7 +85,7 @@
     Cluster& cluster;
     Tell tell;
     const LeftOut* left_out = nullptr;
-    bool staging = false, fits = true, stale = false;
+    bool staging = false, fits = true, stale = false, foreign = false;
     std::optional<std::uint32_t> latest;  // version that came on this watch
     bool any = false;                     // came to its end
     News coming;
@@ -548,8 +552,13 @@
         if (news) mailbox_.put(std::move(*news));
     }
     heard_ = heard_ || lists.any;
-    if (sound && lists.fits) return lists.any ? Taken::news : Taken::nothing;
-    if (lists.fits)
+    if (sound && lists.fits && !lists.foreign) return lists.any ? Taken::news : Taken::nothing;
+    if (lists.foreign)
+        runtime::log("cluster",
+                     "discovery tells changes up to a version before %u, which was heard: the whole "
+                     "list is asked for",
+                     asked_);
+    else if (lists.fits)
         runtime::log("cluster", "what the watch says cannot be read (%s): the whole list is asked for",
                      reader.fault().c_str());
     else
--- a/src/policy/send_rules.cpp
+++ b/src/policy/send_rules.cpp
@@ -66,7 +66,7 @@
 }
 
 Barrier before_first_byte(const CallFacts& facts) {
-    if (facts.host_gone) return Barrier::host_leaving;
+    if (facts.host_gone || facts.host_moved) return Barrier::host_leaving;
     if (facts.now > facts.left_at + usable_grace_ms(facts.drain_grace_ms)) return Barrier::host_leaving;
     if (facts.now < facts.wait_until) return Barrier::told_wait;
     if (facts.now > facts.start_by || facts.now >= facts.expires) return Barrier::too_late;
--- a/src/policy/send_rules.hpp
+++ b/src/policy/send_rules.hpp
@@ -49,7 +49,8 @@
 // A call whose connection is there and whose first byte is to be written.
 struct CallFacts {
     bool host_gone = false;
-    Time left_at = 0;  // since when its host drains or is gone; never: it does not
+    bool host_moved = false;  // its connection leads to an address that is its host's no longer
+    Time left_at = 0;         // since when its host drains or is gone; never: it does not
     double drain_grace_ms = 0;
     Time wait_until = 0, start_by = 0, expires = 0;
     Time now = 0;
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -142,6 +142,7 @@
 
 bool Pool::give_back(Host& host, Flight& flight) {
     if (!host.state.ready || account_.idle >= settings_.most_idle) return false;
+    if (flight.address != host.state.address) return false;  // another host's by now
     const auto& pool = flight.call.pool;
     if (pool && pool->idle_total && account_.idle_in(pool->name) >= *pool->idle_total) return false;
     const Time now = runtime::steady_now();
@@ -211,9 +212,10 @@
 runtime::Task<bool> Pool::connect(Host& host, Flight& flight) {
     auto& ended = flight.ended;
     if (flight.stage == Flight::Stage::begun) {
+        flight.address = host.state.address;
         if (take_idle(host, flight)) co_return true;
         auto dialled = runtime::Dialled::begun;
-        auto socket = runtime::connect_to(scheduler_, host.state.address, flight.waker, &dialled);
+        auto socket = runtime::connect_to(scheduler_, flight.address, flight.waker, &dialled);
         // This side's trouble: the host is not judged by it.
         ended.cause = dialled == runtime::Dialled::refused ? Cause::broken : Cause::not_allowed;
         if (dialled == runtime::Dialled::no_descriptor) shed_idle();
@@ -243,16 +245,16 @@
         if (!connected) co_return;
         ended.progress = Progress::connected;
         // The call may have waited for its connection while the list, a told wait or its window moved on.
-        const auto barrier =
-            policy::before_first_byte({host.state.gone, host.left_at, settings_.drain_grace_ms, wait_of(host),
-                                       flight.start_by, flight.expires, runtime::steady_now()});
+        const auto barrier = policy::before_first_byte(
+            {host.state.gone, flight.address != host.state.address, host.left_at, settings_.drain_grace_ms,
+             wait_of(host), flight.start_by, flight.expires, runtime::steady_now()});
         ++withheld_[static_cast<std::size_t>(barrier)];
         ended.cause = Cause::not_allowed;
         if (barrier != policy::Barrier::none) co_return;
         flight.rest = request_of(flight);
+        flight.socket.limit_undelivered(arrives_by(flight) - runtime::steady_now());
         flight.stage = Flight::Stage::writing;
         ended.cause = Cause::none;
-        flight.socket.limit_undelivered(arrives_by(flight) - runtime::steady_now());
     }
     if (flight.stage == Flight::Stage::writing) {
         const bool written = co_await write_rest(flight);
