Take nothing on for a client that has left with bytes unread

Cause: Connection::present saw the end of a client's sending only behind all bytes before it. Of the same kind: an id whose message was withdrawn while its call was out stayed "taken on", so that its next hand-in was answered 202 and nobody went on with it, over a restart too.

Change: the system is asked for the end itself (POLLRDHUP); such an id is doubtful, durably, until its call has ended.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,6 +11,8 @@
 namespace brasslift::dispatch {
 namespace {
 
+// Of an id whose message was withdrawn and may have run: no request has this print.
+constexpr std::size_t doubtful_print = 0;
 constexpr int most_dozing = 64;  // in a turn
 constexpr int most_looks = 2;    // for each message, where more ids are remembered than are to be
 // On sockets a key rests for so much longer: the rule's own slack, and what a process may be held up between
@@ -85,9 +87,9 @@
         restored.message.destination = m.destination;
         restored.message.key = m.order_key;
         restored.message.due = m.due_wall - wall_offset_;
+        restored.message.bytes = shared_bytes(m.name, m.key, *m.body);
         restored.attempts = m.attempts;
         restored.may_have_run = m.may_have_run;
-        restored.message.bytes = shared_bytes(m.name, m.key, *m.body);
         restored.first_risky = m.risky_wall - wall_offset_;
         restored.zone = m.risky_zone;
         restored.cut = m.cut || m.order_key != 0;
@@ -299,6 +301,8 @@
     const auto print = print_of(s, order_key);
     if (const auto known = ids_.find(s.name); known != ids_.end()) {
         if (known->second == print) return client->answer({Reply::taken, 0, 0});
+        if (withdrawn_calls_.count(s.name) != 0)  // what becomes of its call is known soon
+            return refuse(s, *client, Reply::full, Refusal::gone, full_pause_ms);
         return refuse(s, *client, Reply::conflict, Refusal::conflict, 0);
     }
     if (coming_.count(s.name) != 0) return refuse(s, *client, Reply::conflict, Refusal::conflict, 0);
@@ -339,11 +343,11 @@
     arrival.due = s.due;
     arrival.destination = m.destination;
     arrival.key = order_key;
+    arrival.bytes = shared_bytes(m.name, m.key, *m.body);
     candidate.print = print;
     coming_.insert(m.name);
     candidates_.emplace(arrival.id, std::move(candidate));
     tell(arrival);
-    arrival.bytes = shared_bytes(m.name, m.key, *m.body);
 }
 
 // 0: its class keeps no order, or its client named no key.
@@ -358,7 +362,8 @@
     for (const std::size_t part :
          {std::size_t{store::hash_of(s.key)}, std::size_t{s.message_class}, std::size_t{s.destination}})
         print = print * 1099511628211U ^ part;
-    return order_key == 0 ? print : print * 1099511628211U ^ order_key;
+    if (order_key != 0) print = print * 1099511628211U ^ order_key;
+    return print == doubtful_print ? doubtful_print + 1 : print;
 }
 
 void Dispatcher::remember(const std::string& name, std::size_t print) {
@@ -432,8 +437,7 @@
     auto* const m = ledger_.find(untold.id);
     if (m == nullptr || m->ending != Ending::none) return;
     note(Step::withdrawn, *m, name_of(Refusal::gone));
-    // Where nothing has gone out its client may hand it in again under the same id.
-    if (m->attempts == 0) forget(m->name);
+    doubt_name(*m);
     leave_turn(*m);
     ledger_.end(*m, Ending::done, 0);
     if (gate_) gate_->undo(untold.id);
@@ -441,6 +445,35 @@
     tell(Withdrawn{untold.id});
 }
 
+// Where nothing of it may have run its client may hand it in again under the same id. Elsewhere it was told
+// nothing, and must not hear that the message was taken on: nobody goes on with it.
+void Dispatcher::doubt_name(const Owed& m) {
+    const auto known = ids_.find(m.name);
+    if (!m.flying && !m.may_have_run) return forget(m.name);
+    if (known == ids_.end()) return;
+    if (m.flying) withdrawn_calls_[m.name] = {known->second, m.message_class};
+    known->second = doubtful_print;
+    ledger_.remember_name(m.name, doubtful_print);
+}
+
+// The call of a message that was withdrawn meanwhile has ended.
+void Dispatcher::settle_name(const std::string& name, const Verdict& v) {
+    const auto found = withdrawn_calls_.find(name);
+    if (found == withdrawn_calls_.end()) return;
+    const auto call = found->second;
+    withdrawn_calls_.erase(found);
+    const auto known = ids_.find(name);
+    if (known == ids_.end()) return;
+    const bool has_not_run = v.unsent || surely_not_run(v.result);
+    const bool may_run_again = settings_.classes[call.message_class].repeat == Repeat::pure;
+    if (v.result == Result::ok && !v.unsent) {
+        known->second = call.print;
+        ledger_.remember_name(name, call.print);
+    } else if (has_not_run || may_run_again) {
+        forget(name);
+    }
+}
+
 void Dispatcher::on(const Verdict& v) {
     if (flying_ > 0) --flying_;
     landed(v.id, v.attempt);
@@ -455,6 +488,7 @@
     outcome.wait_ms = v.wait_ms;
     outcome.report = v.report;
     auto* const m = ledger_.find(v.id);
+    if (m != nullptr) settle_name(m->name, v);
     outcome.over = m == nullptr || take_verdict(*m, v);
     outcome.unsettled = open_ends_.count(v.id) != 0;
     tell(outcome);
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -77,7 +77,8 @@
     void recover(const Listed& known);
     // The same of a predecessor, whose calls are still out. False: the state is not one of this module's.
     bool adopt(const CoreState& state);
-    // Once the ledger has read the store: goes on with what it holds. `out`: the messages whose calls came along.
+    // Once the ledger has read the store: goes on with what it holds. `out`: the messages whose calls came
+    // along.
     void resume(const std::set<MessageId>& out);
     runtime::Task<void> run();
 
@@ -170,6 +171,8 @@
     void remember(const std::string& name, std::size_t print);
     void remember(const std::string& name, std::size_t print, Time until);
     void forget(const std::string& name);
+    void doubt_name(const Owed& withdrawn);
+    void settle_name(const std::string& name, const Verdict& verdict);
     void forget_ids();
     void end(Owed& message, Ending ending, double again_ms);
     void let_go(MessageId id);
@@ -235,6 +238,12 @@
     std::set<std::string> coming_;                      // the ids of the candidates
     std::unordered_map<std::string, std::size_t> ids_;  // taken on of late, with their prints
     std::deque<std::pair<Time, std::string>> remembered_;
+    // Ids whose messages were withdrawn while a call of them was out, with the print and the class of each.
+    struct WithdrawnCall {
+        std::size_t print = 0;
+        std::uint16_t message_class = 0;
+    };
+    std::map<std::string, WithdrawnCall> withdrawn_calls_;
     policy::KeyTurns turns_;                  // as this side knows them, beside the module
     std::map<MessageId, OpenEnd> open_ends_;  // of ended messages with an order key
     std::set<MessageId> withdrawn_;  // not taken on after the module had seen them; in this turn only
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -11,10 +11,6 @@
 using store::Batch;
 using store::Purpose;
 
-bool harmless(Result result) {
-    return result == Result::full || result == Result::connect_failed || result == Result::moot;
-}
-
 constexpr std::size_t carried_at_once = 256 * 1024;  // bytes in one batch
 
 }  // namespace
@@ -283,7 +279,7 @@
 }
 
 void Ledger::outcome(Owed& m, Result result) {
-    if (!harmless(result)) note_risk(m);
+    if (!surely_not_run(result)) note_risk(m);
     m.flying = false;
     if (m.ending != Ending::none) return drop_if_over(m.id);
     // A delivery's own record is its end.
@@ -328,6 +324,12 @@
     write(batch, Purpose::owed);
 }
 
+void Ledger::remember_name(const std::string& name, std::uint64_t print) {
+    Batch batch;
+    SeenIds::put(batch, name, print, stamp());
+    write(batch, Purpose::owed);
+}
+
 void Ledger::drop_if_over(MessageId id) {
     const auto found = messages_.find(id);
     if (found == messages_.end() || found->second.ending != Ending::done || found->second.flying) return;
--- a/src/dispatch/ledger.hpp
+++ b/src/dispatch/ledger.hpp
@@ -42,6 +42,8 @@
     void told(MessageId id);
     // The message may be handed in anew under its id: it is as if it had never come.
     void forget_name(const std::string& name);
+    // From now on its id has that print.
+    void remember_name(const std::string& name, std::uint64_t print);
 
     Owed* find(MessageId id);
     // Whether a message that a client handed in under that id is still owed its end.
--- a/src/dispatch/records.hpp
+++ b/src/dispatch/records.hpp
@@ -102,6 +102,11 @@
 // The ledger's keyspaces and how much of them is kept.
 std::vector<store::KeyspaceRule> ledger_keyspaces();
 
+// Whether an attempt that ended so never ran.
+constexpr bool surely_not_run(Result result) {
+    return result == Result::full || result == Result::connect_failed || result == Result::moot;
+}
+
 // An attempt that ended, or may have, as one that may have run.
 void note_risk(Standing& progress);
 
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -25,7 +25,8 @@
           socket(scheduler, std::move(fd), waker),
           parser(http::Parser::Side::request, limits) {}
     // Whoever has ended its sending before it was answered may hand the message in elsewhere at once.
-    bool present() const override { return socket && !socket.news_of_end(); }
+    // Bytes that it sent before may still wait to be read.
+    bool present() const override { return socket && !socket.news_of_end() && !socket.peer_has_ended(); }
     void answer(const dispatch::Answer& answer) override { mailbox.put(answer); }
 
     runtime::Waker waker;
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -169,6 +169,11 @@
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR && !passes(errno));
 }
 
+bool Socket::peer_has_ended() const {
+    pollfd state{fd_.get(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool Socket::readable() const {
     char byte;
     const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/runtime/socket.hpp
+++ b/src/runtime/socket.hpp
@@ -42,19 +42,20 @@
 
     Transfer read(char* into, std::size_t size);
     Transfer write(std::string_view bytes);
-    Io connected();            // done, blocked (still on its way) or failed
-    bool news_of_end() const;  // the peer has ended or broken the connection and left nothing to read
-    bool readable() const;     // bytes, an end or a failure wait to be read
+    Io connected();               // done, blocked (still on its way) or failed
+    bool news_of_end() const;     // the peer has ended or broken the connection and left nothing to read
+    bool peer_has_ended() const;  // its sending or the connection, whatever is left to read
+    bool readable() const;        // bytes, an end or a failure wait to be read
     void end_sending();
-    void close();
     // What is written from now on and the peer's system has not taken after so long (ms, 1 at least) is given
     // up, and the connection with it; also once this process is gone. A system that does not know how goes on
     // trying.
     void limit_undelivered(double ms);
-    int fd() const { return fd_.get(); }
+    void close();
     // Closes it with a reset: what the peer's system has not taken yet is never delivered, and neither is
     // what waits here to be read.
     void abort();
+    int fd() const { return fd_.get(); }
 
 private:
     Io state_after(int error);
--- a/tests/core_faults_test.cpp
+++ b/tests/core_faults_test.cpp
@@ -199,6 +199,55 @@
     EXPECT_TRUE(next.await([&] { return !next.upstream.calls.empty(); }, 1000));
 }
 
+// Guards against a message that is withdrawn, as its client could not be told, and then told as taken on to
+// whoever hands it in again under its id: nobody went on with it.
+TEST(CoreFaults, AnIdWhoseClientLeftIsNotToldAsTakenOnAgain) {
+    constexpr std::uint16_t payment = 2;
+    using dispatch::Reply;
+    struct Case {
+        Result result;
+        Reply again;
+        std::size_t calls;
+    };
+    for (const auto& [result, again, calls] :
+         {Case{Result::error, Reply::conflict, 1}, Case{Result::full, Reply::taken, 2},
+          Case{Result::ok, Reply::taken, 1}}) {
+        Disk disk;
+        Core core(disk);
+        const auto first = core.submit("m1", payment);
+        ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == 1; }));
+        core.dispatcher.mailbox().put(dispatch::Untold{first->answers[0].id});
+        const auto early = core.submit("m1", payment);
+        ASSERT_TRUE(core.await([&] { return !early->answers.empty(); }));
+        EXPECT_EQ(early->answers[0].reply, Reply::full);
+        core.answer(core.upstream.calls[0], result);
+        core.await([] { return false; }, 20);
+        const auto late = core.submit("m1", payment);
+        ASSERT_TRUE(core.await([&] { return !late->answers.empty(); }));
+        EXPECT_EQ(late->answers[0].reply, again);
+        core.await([] { return false; }, 100);
+        EXPECT_EQ(core.upstream.calls.size(), calls);
+    }
+}
+
+// The same over a restart.
+TEST(CoreFaults, AnIdWhoseClientLeftIsNotToldAsTakenOnByTheNextProcess) {
+    constexpr std::uint16_t payment = 2;
+    Disk disk;
+    {
+        Core core(disk);
+        const auto first = core.submit("m1", payment);
+        ASSERT_TRUE(core.await([&] { return core.upstream.calls.size() == 1; }));
+        core.dispatcher.mailbox().put(dispatch::Untold{first->answers[0].id});
+        core.await([] { return false; }, 20);
+    }
+    Core next(disk);
+    const auto again = next.submit("m1", payment);
+    ASSERT_TRUE(next.await([&] { return !again->answers.empty(); }));
+    EXPECT_EQ(again->answers[0].reply, dispatch::Reply::conflict);
+    EXPECT_TRUE(next.upstream.calls.empty());
+}
+
 // What discovery said while the store took no records is kept for the next process all the same.
 TEST(CoreFaults, WhoLeavesIsKeptThoughTheStoreTookNoRecord) {
     Disk disk;
