Bound what all requests take together, heads and refused ones included

Cause: heads and pipelined bytes were not counted; a refused request kept its memory until its connection ended; half requests that rested kept the bound full; connections that had had their last answer kept their places; a chunked body's extensions had no bound together.

--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -40,8 +40,10 @@
     ClosedBy closed_by = ClosedBy::client;
     CloseMode close_mode = CloseMode::immediate;
     std::uint64_t number = 0, answered = 0;
-    // leaving: it closes where no request has begun; closing: no request of it will be read any more.
-    bool busy = false, served = false, evicted = false, leaving = false, closing = false;
+    std::size_t unanswered_bytes = 0;  // that were read behind its last answer, where nobody was refused
+    // leaving: it closes where no request has begun; closing: no request of it will be read any more;
+    // lingering: its last answer has been written, and its client has time to take it.
+    bool busy = false, served = false, evicted = false, leaving = false, closing = false, lingering = false;
 };
 
 }  // namespace brasslift::downstream
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -25,6 +25,11 @@
 // In a full table, a request goes first of which nothing has come for so long: some are written slowly.
 constexpr double unfinished_ms = 400;
 constexpr int most_probes = 8;  // connections that are looked at to find one that may go
+// Ranks of connections, the first to go first; see Server::rank_of.
+constexpr int rank_answered = 0, rank_unfinished = 1, rank_spare = 2, rank_kept = 3, rank_silent = 4,
+              rank_stays = 5;
+// One connection's bytes take no longer in one turn of the loop, but for one read.
+constexpr double read_turn_ms = 2;
 constexpr int accepts_in_a_row = 64;
 // Beyond the table's places: so many connections at once that are turned away get their request read to its
 // end first, for so long each, so that the close takes nothing with it.
@@ -246,16 +251,18 @@
     scheduler_.spawn(serve(std::move(connection)));
 }
 
-// Who goes first: one with a request that does not get on; kept but spare; kept, the longest idle first, for
-// a client whose request crosses the close sends it again; only then one that has not sent anything yet, the
-// longest silent first, for its first request would fail. Nobody whose request is being answered.
+// Who goes first: one that has had its last answer; one with a request that does not get on; kept but spare;
+// kept, the longest idle first, for a client whose request crosses the close sends it again; only then one
+// that has not sent anything yet, the longest silent first, for its first request would fail. Nobody whose
+// request is being answered.
 int Server::rank_of(const Connection& c) const {
-    constexpr int stays = 4;
-    if (c.busy || c.evicted) return stays;
+    if (c.evicted) return rank_stays;
+    if (c.lingering) return rank_answered;
+    if (c.busy) return rank_stays;
     const double age = scheduler_.now() - c.since;
-    if (c.parser.started()) return scheduler_.now() - c.heard >= unfinished_ms ? 0 : stays;
-    if (!c.served) return 3;
-    return age >= spare_ms ? 1 : 2;
+    if (c.parser.started()) return scheduler_.now() - c.heard >= unfinished_ms ? rank_unfinished : rank_stays;
+    if (!c.served) return rank_silent;
+    return age >= spare_ms ? rank_spare : rank_kept;
 }
 
 bool Server::make_room() {
@@ -263,9 +270,10 @@
         Connection* first = nullptr;
         const auto order = [this](const Connection& c) { return std::pair(rank_of(c), c.since); };
         for (const auto& c : connections_)
-            if (rank_of(*c) < 4 && (first == nullptr || order(*c) < order(*first))) first = c.get();
+            if (rank_of(*c) < rank_stays && (first == nullptr || order(*c) < order(*first))) first = c.get();
         if (first == nullptr) return false;
-        if (first->socket.readable() && !first->socket.news_of_end()) {
+        const bool lingers = first->lingering;  // nothing of it is read any more
+        if (!lingers && first->socket.readable() && !first->socket.news_of_end()) {
             first->since = first->heard = scheduler_.now();  // its request is just coming
             continue;
         }
@@ -278,17 +286,18 @@
 // At once, not when its actor runs: the descriptor is needed now.
 void Server::evict(Connection& c) {
     // Whoever waits for an answer is never shut out; rank_of and drains say so before.
-    if (c.busy) {
+    if (c.busy && !c.lingering) {
         ++unanswered_;
         return runtime::log("rules", "a connection that waits for its answer was to be closed: it stays");
     }
-    if (c.parser.started()) {
+    if (c.parser.started() && !c.lingering) {
         c.socket.write(reply(408, true));
         c.socket.end_sending();
     }
     c.evicted = true;
-    c.closed_by = ClosedBy::eviction;
+    if (!c.lingering) c.closed_by = ClosedBy::eviction;
     c.socket.close();
+    release_request(c);
     --open_;
     c.waker.notify();
 }
@@ -302,7 +311,7 @@
 
 void Server::drop_spare() {
     for (const auto& c : connections_)
-        if (rank_of(*c) == 1) dismiss(*c);
+        if (rank_of(*c) == rank_spare) dismiss(*c);
 }
 
 void Server::drain() {
@@ -392,7 +401,7 @@
         c.close_mode = CloseMode::after_refusal;
         co_await write_all(c, reply(http::status_of(c.parser.fault()), true));
     }
-    hold(c, 0);
+    if (!c.evicted) release_request(c);
     co_await close_gracefully(c);
     c.socket.close();
     note_end(c);
@@ -400,10 +409,19 @@
     connections_.remove(connection);
 }
 
+// Of a connection of which no request will be read any more.
+void Server::release_request(Connection& c) {
+    c.unanswered_bytes = c.close_mode == CloseMode::after_refusal ? 0 : c.unread.size();
+    // Swapped away: an empty string that is assigned leaves the buffer that was there.
+    http::Parser fresh(http::Parser::Side::request, limits_.request);
+    std::swap(c.parser, fresh);
+    std::string().swap(c.unread);
+    hold(c, 0);
+}
+
 void Server::note_end(const Connection& c) {
     ++closed_[static_cast<std::size_t>(c.closed_by)];
-    const bool refused = c.close_mode == CloseMode::after_refusal;
-    const ConnectionEnd end{c.number, c.closed_by, c.answered, refused ? 0 : c.unread.size()};
+    const ConnectionEnd end{c.number, c.closed_by, c.answered, c.unanswered_bytes};
     if (end.unanswered_bytes > 0) {
         ++ended_with_unanswered_;
         runtime::log("downstream",
@@ -457,6 +475,12 @@
     co_return written;
 }
 
+std::size_t Server::request_memory() const {
+    std::size_t bytes = 0;
+    for (const auto& c : connections_) bytes += c->parser.memory() + c->unread.capacity();
+    return bytes;
+}
+
 // Counts what a request holds of the memory that all requests that are being read share.
 bool Server::hold(Connection& c, std::size_t bytes) {
     held_ += bytes;
@@ -464,6 +488,21 @@
     return held_ <= limits_.request_bytes;
 }
 
+// Where there is no memory for a request that gets on, those go that do not. Whether there is room now.
+bool Server::shed_unfinished(const Connection& asking) {
+    while (held_ > limits_.request_bytes) {
+        Connection* first = nullptr;
+        for (const auto& c : connections_)
+            if (c.get() != &asking && c->held > 0 && rank_of(*c) == rank_unfinished &&
+                (first == nullptr || c->heard < first->heard))
+                first = c.get();
+        if (first == nullptr) return false;
+        turned_away(first->parser.message().target);
+        evict(*first);
+    }
+    return true;
+}
+
 // Until a request is whole. False: the connection is over, or its request has a fault.
 runtime::Task<bool> Server::read_request(Connection& c) {
     bool invited = false;
@@ -482,11 +521,12 @@
     if (!c.unread.empty()) c.unread = std::string(feed(std::exchange(c.unread, {})));
     for (;;) {
         if (c.parser.complete()) {
-            hold(c, 0);
+            hold(c, c.unread.capacity());
             co_return true;
         }
         if (c.parser.fault() != http::Fault::none) co_return false;
-        if (!hold(c, c.parser.message().body.capacity() + c.unread.capacity())) {
+        const bool fits = hold(c, c.parser.memory() + c.unread.capacity()) || shed_unfinished(c);
+        if (!fits) {
             turned_away(c.parser.message().target);
             c.closed_by = ClosedBy::no_memory;
             c.close_mode = CloseMode::after_refusal;
@@ -502,6 +542,9 @@
             co_await c.waker.wait();
             continue;
         }
+        // A request of many small parts comes faster than it is read: whoever else waits has its turn too.
+        if (scheduler_.turn_ms() > read_turn_ms) co_await runtime::next_turn(scheduler_);
+        if (c.evicted) co_return false;
         const auto got = c.socket.read(scratch_.data(), scratch_.size());
         if (got.io == runtime::Io::done) {
             c.heard = scheduler_.now();
@@ -546,6 +589,8 @@
 // Lets the client take the last answer before the close.
 runtime::Task<void> Server::close_gracefully(Connection& c) {
     if (c.evicted || c.close_mode == CloseMode::immediate) co_return;
+    c.lingering = true;
+    c.since = scheduler_.now();
     c.socket.end_sending();
     if (c.close_mode == CloseMode::after_refusal) co_return co_await discard_rest(c);
     const Time until = scheduler_.now() + linger_ms;
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -97,6 +97,8 @@
     bool adopt(const ServerState& state, state::Luggage& luggage);
     void close_idle();
     std::size_t open() const { return open_; }
+    // Bytes of memory that requests take which have not been handed over.
+    std::size_t request_memory() const;
     // No connection is there and none will come.
     bool over() const { return !listener_ && open_ == 0 && turning_away_ == 0; }
     // Times that accept failed for the system's trouble.
@@ -130,6 +132,8 @@
     runtime::Task<void> turn_away(std::shared_ptr<Connection> connection);
     void drop_spare();
     bool hold(Connection& c, std::size_t bytes);
+    bool shed_unfinished(const Connection& asking);
+    void release_request(Connection& c);
     void note_end(const Connection& c);
     runtime::Task<void> close_drained();
     void turned_away(std::string_view target) const;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -24,8 +24,9 @@
     std::string joined(std::string_view name) const;
     // Whether a comma-separated header holds the token.
     bool has_token(std::string_view name, std::string_view token) const;
-    void clear() { lines_.clear(); }
     std::size_t size() const { return lines_.size(); }
+    // Bytes of memory that they take.
+    std::size_t memory() const;
     template <class Archive>
     void serialize(Archive& archive) {
         archive(lines_);
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t most_headers = 100;
+constexpr std::size_t most_size_digits = 8;  // of a chunk's size, as any sender writes it
 constexpr int most_interim = 32;  // 1xx ahead of one answer; a peer that sends nothing else is not waited for
 
 bool is_token(std::string_view text) {
@@ -28,6 +29,12 @@
                        [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
 }
 
+// Of a text's own, beside the string.
+std::size_t memory_of(const std::string& text) {
+    static const std::size_t inside = std::string().capacity();
+    return text.capacity() > inside ? text.capacity() + 1 : 0;
+}
+
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b) {
@@ -42,6 +49,12 @@
     return text.substr(from, text.find_last_not_of(" \t") - from + 1);
 }
 
+std::size_t Headers::memory() const {
+    std::size_t bytes = lines_.capacity() * sizeof(lines_.front());
+    for (const auto& [name, value] : lines_) bytes += memory_of(name) + memory_of(value);
+    return bytes;
+}
+
 const std::string* Headers::find(std::string_view name) const {
     for (const auto& [key, value] : lines_)
         if (same_name(key, name)) return &value;
@@ -229,6 +242,10 @@
 
 void Parser::on_chunk_size(const std::string& line) {
     head_size_ = 0;
+    // Extensions and leading zeros count together for all chunks: a body of a byte a chunk would bring them
+    // without end.
+    if (line.size() > most_size_digits) chunk_extra_ += line.size() - most_size_digits;
+    if (chunk_extra_ > limits_.head) return fail(Fault::head_too_large);
     const auto digits = trimmed(std::string_view(line).substr(0, line.find(';')));
     if (!read_size(digits, 16, left_)) return fail(Fault::malformed);
     if (left_ > limits_.body) return fail(Fault::body_too_large);
@@ -242,10 +259,15 @@
         fail(Fault::malformed);
 }
 
+std::size_t Parser::memory() const {
+    return memory_of(message_.method) + memory_of(message_.target) + memory_of(message_.body) +
+           memory_of(line_) + message_.headers.memory();
+}
+
 Message Parser::take() {
     auto message = std::exchange(message_, {});
     phase_ = Phase::start;
-    head_size_ = 0;
+    head_size_ = chunk_extra_ = 0;
     interim_ = 0;
     line_.clear();
     return message;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -26,6 +26,8 @@
     bool has_status() const { return message_.status != 0; }
     bool complete() const { return phase_ == Phase::complete; }
     Fault fault() const { return fault_; }
+    // Bytes of memory that the message takes so far.
+    std::size_t memory() const;
 
     Message& message() { return message_; }
     const Message& message() const { return message_; }
@@ -66,6 +68,7 @@
     Message message_;
     std::string line_;
     std::size_t head_size_ = 0;
+    std::size_t chunk_extra_ = 0;  // bytes of chunks' size lines beyond plain sizes
     int interim_ = 0;
     std::uint64_t left_ = 0;
 };
