--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -18,16 +18,8 @@
 // connect for the first request, from its first byte for a later one; a connection that stays silent has
 // silent_ms.
 constexpr double silent_ms = 2700, write_ms = 2000, linger_ms = 300;
-// Kept connections without a request may close after 2 s. They do where the table fills up, and where one has
-// been held for so long that its client has forgotten it.
-constexpr double spare_ms = 2100, kept_ms = 15000;
+constexpr double kept_ms = 15000;  // of a kept connection, whose client has forgotten it by then
 constexpr double crowded_share = 0.5;
-// In a full table, a request goes first of which nothing has come for so long: some are written slowly.
-constexpr double unfinished_ms = 400;
-constexpr int most_probes = 8;  // connections that are looked at to find one that may go
-// Ranks of connections, the first to go first; see Server::rank_of.
-constexpr int rank_answered = 0, rank_unfinished = 1, rank_spare = 2, rank_kept = 3, rank_silent = 4,
-              rank_stays = 5;
 // One connection's bytes take no longer in one turn of the loop, but for one read.
 constexpr double read_turn_ms = 2;
 constexpr int accepts_in_a_row = 64;
@@ -251,69 +243,6 @@
     scheduler_.spawn(serve(std::move(connection)));
 }
 
-// Who goes first: one that has had its last answer; one with a request that does not get on; kept but spare;
-// kept, the longest idle first, for a client whose request crosses the close sends it again; only then one
-// that has not sent anything yet, the longest silent first, for its first request would fail. Nobody whose
-// request is being answered.
-int Server::rank_of(const Connection& c) const {
-    if (c.evicted) return rank_stays;
-    if (c.lingering) return rank_answered;
-    if (c.busy) return rank_stays;
-    const double age = scheduler_.now() - c.since;
-    if (c.parser.started()) return scheduler_.now() - c.heard >= unfinished_ms ? rank_unfinished : rank_stays;
-    if (!c.served) return rank_silent;
-    return age >= spare_ms ? rank_spare : rank_kept;
-}
-
-bool Server::make_room() {
-    for (int probes = 0; probes < most_probes; ++probes) {
-        Connection* first = nullptr;
-        const auto order = [this](const Connection& c) { return std::pair(rank_of(c), c.since); };
-        for (const auto& c : connections_)
-            if (rank_of(*c) < rank_stays && (first == nullptr || order(*c) < order(*first))) first = c.get();
-        if (first == nullptr) return false;
-        const bool lingers = first->lingering;  // nothing of it is read any more
-        if (!lingers && first->socket.readable() && !first->socket.news_of_end()) {
-            first->since = first->heard = scheduler_.now();  // its request is just coming
-            continue;
-        }
-        evict(*first);
-        return true;
-    }
-    return false;
-}
-
-// At once, not when its actor runs: the descriptor is needed now.
-void Server::evict(Connection& c) {
-    // Whoever waits for an answer is never shut out; rank_of and drains say so before.
-    if (c.busy && !c.lingering) {
-        ++unanswered_;
-        return runtime::log("rules", "a connection that waits for its answer was to be closed: it stays");
-    }
-    if (c.parser.started() && !c.lingering) {
-        c.socket.write(reply(408, true));
-        c.socket.end_sending();
-    }
-    c.evicted = true;
-    if (!c.lingering) c.closed_by = ClosedBy::eviction;
-    c.socket.close();
-    release_request(c);
-    --open_;
-    c.waker.notify();
-}
-
-// Closed by its own actor, which looks once more: a request that has come by then is answered. What comes
-// behind that look is left unread, so that its client sees a reset and sends it elsewhere.
-void Server::dismiss(Connection& c) {
-    c.leaving = true;
-    c.waker.notify();
-}
-
-void Server::drop_spare() {
-    for (const auto& c : connections_)
-        if (rank_of(*c) == rank_spare) dismiss(*c);
-}
-
 void Server::drain() {
     if (closing_drained_) return;
     closing_drained_ = true;
@@ -409,16 +338,6 @@
     connections_.remove(connection);
 }
 
-// Of a connection of which no request will be read any more.
-void Server::release_request(Connection& c) {
-    c.unanswered_bytes = c.close_mode == CloseMode::after_refusal ? 0 : c.unread.size();
-    // Swapped away: an empty string that is assigned leaves the buffer that was there.
-    http::Parser fresh(http::Parser::Side::request, limits_.request);
-    std::swap(c.parser, fresh);
-    std::string().swap(c.unread);
-    hold(c, 0);
-}
-
 void Server::note_end(const Connection& c) {
     ++closed_[static_cast<std::size_t>(c.closed_by)];
     const ConnectionEnd end{c.number, c.closed_by, c.answered, c.unanswered_bytes};
@@ -475,34 +394,6 @@
     co_return written;
 }
 
-std::size_t Server::request_memory() const {
-    std::size_t bytes = 0;
-    for (const auto& c : connections_) bytes += c->parser.memory() + c->unread.capacity();
-    return bytes;
-}
-
-// Counts what a request holds of the memory that all requests that are being read share.
-bool Server::hold(Connection& c, std::size_t bytes) {
-    held_ += bytes;
-    held_ -= std::exchange(c.held, bytes);
-    return held_ <= limits_.request_bytes;
-}
-
-// Where there is no memory for a request that gets on, those go that do not. Whether there is room now.
-bool Server::shed_unfinished(const Connection& asking) {
-    while (held_ > limits_.request_bytes) {
-        Connection* first = nullptr;
-        for (const auto& c : connections_)
-            if (c.get() != &asking && c->held > 0 && rank_of(*c) == rank_unfinished &&
-                (first == nullptr || c->heard < first->heard))
-                first = c.get();
-        if (first == nullptr) return false;
-        turned_away(first->parser.message().target);
-        evict(*first);
-    }
-    return true;
-}
-
 // Until a request is whole. False: the connection is over, or its request has a fault.
 runtime::Task<bool> Server::read_request(Connection& c) {
     bool invited = false;
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -125,7 +125,9 @@
     bool ends_after(const Connection& c, bool keeps_alive) const;
     void take(runtime::Descriptor fd);
     void keep(std::shared_ptr<Connection> connection);
-    int rank_of(const Connection& c) const;
+    // Of connections, the first to go first.
+    enum class Rank : std::uint8_t { answered, unfinished, spare, kept, silent, stays };
+    Rank rank_of(const Connection& c) const;
     bool make_room();
     void evict(Connection& c);
     static void dismiss(Connection& c);
