--- a/src/cluster/notices.cpp
+++ b/src/cluster/notices.cpp
@@ -11,9 +11,11 @@
 namespace {
 
 constexpr std::size_t most_lines = 100, most_idle = 1;
-// Posts at a time that carry notices again, and posts in all: a first notice does not wait for the answers to
-// others.
-constexpr std::size_t most_repeat_posts = 3, most_posts = 24;
+// Posts at a time, answered late or never: beyond so many only first sends begin another, beyond the second
+// none.
+constexpr std::size_t most_posts = 24, most_posts_in_all = 48;
+constexpr std::size_t most_late_posts = 6;
+constexpr int early_tries = 3;
 // The platform answers at once, and a final answer leaves as late as 10 ms before its time: 300 ms after that
 // it is lost. A kept connection may have died in silence, so a notice that was not answered goes out again
 // soon, over another one, and then less and less often. Each post waits longer than that: answers may be
@@ -52,7 +54,6 @@
             const auto id = notice.id;
             auto& pending = pending_[id];
             pending.notice = std::move(notice);
-            if (pending.tries == 0) fresh_.push_back(id);
             send_at(id, pending, scheduler_.now());
         }
         if (std::exchange(moved_, false)) {
@@ -64,31 +65,45 @@
     }
 }
 
+Notices::Schedule& Notices::schedule_of(const Pending& pending) {
+    return schedules_[static_cast<std::size_t>(pending.round)];
+}
+
 void Notices::send_at(MessageId id, Pending& pending, runtime::Time at) {
-    schedule_.erase({pending.next, id});
+    schedule_of(pending).erase({pending.next, id});
+    pending.round = pending.tries == 0            ? Round::first
+                    : pending.tries < early_tries ? Round::early
+                                                  : Round::late;
     pending.next = at;
-    schedule_.insert({at, id});
+    schedule_of(pending).insert({at, id});
+}
+
+bool Notices::has_post_for(Round round) const {
+    if (round == Round::first) return posts_ < most_posts_in_all;
+    return posts_ < most_posts && (round == Round::early || late_posts_ < most_late_posts);
 }
 
 // When there is something to post, and a post to be had for it; never: behind an answer.
 runtime::Time Notices::next_due() const {
-    if (posts_ >= most_posts || schedule_.empty()) return runtime::never;
-    if (repeat_posts_ < most_repeat_posts) return schedule_.begin()->first;
-    return fresh_.empty() ? runtime::never : scheduler_.now();
+    runtime::Time next = runtime::never;
+    for (std::size_t round = 0; round < rounds; ++round)
+        if (!schedules_[round].empty() && has_post_for(static_cast<Round>(round)))
+            next = std::min(next, schedules_[round].begin()->first);
+    return next;
 }
 
-// What one post takes of those whose time has come: those that were never sent first.
-std::vector<MessageId> Notices::due() {
-    if (posts_ >= most_posts) return {};
+// What the next post takes.
+std::vector<MessageId> Notices::due() const {
     std::vector<MessageId> ids;
-    while (!fresh_.empty() && ids.size() < most_lines) {
-        const auto id = fresh_.front();
-        fresh_.pop_front();
-        if (const auto found = pending_.find(id); found != pending_.end() && found->second.tries == 0)
-            ids.push_back(id);
-    }
-    if (!ids.empty() || repeat_posts_ >= most_repeat_posts) return ids;
-    for (const auto& [at, id] : schedule_) {
+    for (std::size_t round = 0; round < rounds && ids.empty(); ++round)
+        if (has_post_for(static_cast<Round>(round))) ids = due_in(schedules_[round]);
+    return ids;
+}
+
+// What one post takes of those whose time has come.
+std::vector<MessageId> Notices::due_in(const Schedule& schedule) const {
+    std::vector<MessageId> ids;
+    for (const auto& [at, id] : schedule) {
         if (at > scheduler_.now() || ids.size() >= most_lines) break;
         const bool alone = pending_.at(id).alone;
         if (alone && !ids.empty()) break;
@@ -100,10 +115,9 @@
 
 void Notices::begin_post(const std::vector<MessageId>& ids) {
     std::string body;
-    bool repeats = false;
+    const auto round = pending_.at(ids.front()).round;
     for (const auto id : ids) {
         auto& pending = pending_.at(id);
-        repeats = repeats || pending.tries > 0;
         send_at(id, pending, scheduler_.now() + again_ms(pending.tries++));
         body += line_of(pending.notice);
     }
@@ -113,18 +127,18 @@
         idle_.pop_back();
     }
     ++posts_;
-    repeat_posts_ += repeats ? 1 : 0;
-    scheduler_.spawn(post(std::move(caller), ids, std::move(body), repeats));
+    late_posts_ += round == Round::late ? 1 : 0;
+    scheduler_.spawn(post(std::move(caller), ids, std::move(body), round));
 }
 
 runtime::Task<void> Notices::post(std::unique_ptr<client::Caller> caller, std::vector<MessageId> ids,
-                                  std::string body, bool repeats) {
+                                  std::string body, Round round) {
     const auto to = discovery_;
     const bool kept = caller->kept();
     const runtime::Time until = scheduler_.now() + post_ms;
     const auto answer = co_await caller->call(to, request_with(body), [until] { return until; });
     --posts_;
-    repeat_posts_ -= repeats ? 1 : 0;
+    late_posts_ -= round == Round::late ? 1 : 0;
     const int status = answer ? answer->status : 0;
     if (status == 204)
         answered(ids);
@@ -143,7 +157,7 @@
     for (const auto id : ids) {
         const auto found = pending_.find(id);
         if (found == pending_.end()) continue;
-        schedule_.erase({found->second.next, id});
+        schedule_of(found->second).erase({found->second.next, id});
         pending_.erase(found);
         told.ids.push_back(id);
     }
--- a/src/cluster/notices.hpp
+++ b/src/cluster/notices.hpp
@@ -3,7 +3,8 @@
 // first counts. Threads: the loop's. Errors: a notice that the platform cannot read is logged and given up.
 #pragma once
 
-#include <deque>
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,19 +32,27 @@
     runtime::Task<void> run();
 
 private:
+    // How often a notice was sent; those of a later round wait for those of the ones before.
+    enum class Round : std::uint8_t { first, early, late };
+    static constexpr std::size_t rounds = 3;
     struct Pending {
         dispatch::Notice notice;
         runtime::Time next = 0;  // when it is sent (again), unless it is answered before
         int tries = 0;
         bool alone = false;  // a post with it and others could not be read
+        Round round = Round::first;
     };
     using Callers = std::vector<std::unique_ptr<client::Caller>>;
 
-    std::vector<MessageId> due();
+    using Schedule = std::set<std::pair<runtime::Time, MessageId>>;  // by Pending::next
+    Schedule& schedule_of(const Pending& pending);
+    bool has_post_for(Round round) const;
+    std::vector<MessageId> due() const;
+    std::vector<MessageId> due_in(const Schedule& schedule) const;
     runtime::Time next_due() const;
     void begin_post(const std::vector<MessageId>& ids);
     runtime::Task<void> post(std::unique_ptr<client::Caller> caller, std::vector<MessageId> ids,
-                             std::string body, bool repeats);
+                             std::string body, Round round);
     void answered(const std::vector<MessageId>& ids);
     void unreadable(const std::vector<MessageId>& ids, const std::string& body);
     void failed(const std::vector<MessageId>& ids, bool kept);
@@ -53,11 +62,10 @@
     runtime::Address discovery_;
     runtime::Waker waker_;
     runtime::Mailbox<dispatch::Notice> mailbox_;
-    std::map<MessageId, Pending> pending_;                    // not answered yet
-    std::set<std::pair<runtime::Time, MessageId>> schedule_;  // by Pending::next
-    Callers idle_;                                            // with a connection that may be kept
-    std::deque<MessageId> fresh_;                             // that may not have been sent yet
-    std::size_t posts_ = 0, repeat_posts_ = 0;                // under way; those with notices sent before
+    std::map<MessageId, Pending> pending_;    // not answered yet
+    std::array<Schedule, rounds> schedules_;  // all of them, by Pending::round
+    Callers idle_;                            // with a connection that may be kept
+    std::size_t posts_ = 0, late_posts_ = 0;  // under way; those of the late round
     bool moved_ = false;
     Report report_;
 };
