--- a/src/downstream/room.cpp
+++ b/src/downstream/room.cpp
@@ -60,7 +60,7 @@
     c.evicted = true;
     if (!c.lingering) c.closed_by = ClosedBy::eviction;
     c.socket.close();
-    release_request(c);
+    if (!c.lingering) release_request(c);
     --open_;
     c.waker.notify();
 }
