--- a/include/brasslift/sender.hpp
+++ b/include/brasslift/sender.hpp
@@ -90,7 +90,6 @@
     Outage outage = Outage::none;
     Time failed_at = -std::numeric_limits<Time>::infinity();
     Time wait_until = -std::numeric_limits<Time>::infinity();  // a told wait's end
-    std::uint64_t name = 0;  // the same in every process that hears of it; 0: unknown. Not the module's
 };
 
 struct ListUpdate {
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -24,8 +24,8 @@
 // all (measured: docs/CAPACITY.md).
 constexpr double table_share = 0.25, awake_share = 0.25, awake_bytes = 8000;
 
-// Of an endpoint, the same in every process.
-std::uint64_t name_of(std::string_view uid) { return store::hash_of(uid); }
+// The name under which versions before kept an endpoint that leaves.
+std::uint64_t former_name_of(std::string_view uid) { return store::hash_of(uid); }
 
 std::uint64_t entry_of(const HostView& host) {
     return entry_name(host.uid, host.address, host.listing.destination);
@@ -110,11 +110,11 @@
     Lists lists(*this, [&first](dispatch::Listed listed) { first = std::move(listed); });
     const bool sound = read_known(config_, lists) && lists.fits;
     finish_sweep();
-    reads_known_ = false;
     if (sound && !lists.whole.empty()) {
         if (share_ != nullptr) share_->own(lists.whole.back(), 0);
-        first = begin_with(lists.whole.back());
+        first = apply(lists.whole.back());
     }
+    reads_known_ = false;
     return first;
 }
 
@@ -137,8 +137,7 @@
 bool Cluster::is_kept_out(const HostView& host) const {
     if (!list_confirmed_) {
         if (!trusts_known_ || departures_.contains(entry_of(host))) return true;
-        // As a version before kept it.
-        if (departures_.contains(name_of(host.uid))) return true;
+        if (departures_.contains(former_name_of(host.uid))) return true;
     }
     return keeps_out_ && keeps_out_(std::string(host.uid));
 }
@@ -149,7 +148,7 @@
     if (host.listing.state != ListingState::ready) return note_departed(host);
     if (departures_.empty()) return;
     departures_.remove(entry_of(host));
-    departures_.remove(name_of(host.uid));
+    departures_.remove(former_name_of(host.uid));
 }
 
 void Cluster::note_departed(const HostView& host) {
@@ -162,7 +161,7 @@
     note_entry(now);
 }
 
-// Where what was kept before is to be replaced, the next process is told of it at once and in full.
+// Where what was kept before is to be replaced, that happens at once and in full.
 void Cluster::flush_departures() {
     if (departures_.changes().empty() || (departures_.changes().cleared && !table_.swept())) return;
     keep_departures_(departures_.take_changes());
@@ -185,7 +184,6 @@
     const auto state = state_of(host);
     pool_.relist(state);
     lines.push_back(host.listing);
-    lines.back().name = name_of(host.uid);
     if (host.listing.state == ListingState::ready && !state.ready)
         lines.back().state = ListingState::draining;
 }
@@ -199,7 +197,6 @@
     line.endpoint = host.listing.endpoint;
     line.destination = host.listing.destination;
     line.state = ListingState::gone;
-    line.name = name_of(host.uid);
     lines.push_back(line);
 }
 
@@ -215,15 +212,12 @@
     auto known = before == no_slot ? std::nullopt : table_.at(before);
     if (known) known->uid = line.uid;
     // Under another destination it is another host.
-    if (known) {
-        const auto was = *known;
-        if (was.listing.destination != line.listing.destination) {
-            if (awake_.count(was.listing.destination) != 0) {
-                tell_gone(was, lines);
-                orphans_.emplace_back(scheduler_.now(), was.listing.endpoint);
-            }
-            table_.renumber(before);
+    if (known && known->listing.destination != line.listing.destination) {
+        if (awake_.count(known->listing.destination) != 0) {
+            tell_gone(*known, lines);
+            orphans_.emplace_back(scheduler_.now(), known->listing.endpoint);
         }
+        table_.renumber(before);
     }
     std::vector<Slot> left;
     const auto slot = table_.put(line.uid, line.address, line.listing, scheduler_.now(), left);
@@ -259,8 +253,8 @@
     while (!sweep(sweep_slice)) continue;
 }
 
-// From now on the table is discovery's word. What the next process has to know of the config's list is told
-// anew where it was not complete: the sweep finds all of it.
+// From now on the table is discovery's word. Where the departures from the config's list were not complete
+// they are gathered anew: the sweep finds all of them.
 void Cluster::confirm_list() {
     list_confirmed_ = true;
     if (std::exchange(trusts_known_, true)) return;
@@ -555,7 +549,7 @@
     if (sound && lists.fits && !lists.foreign) return lists.any ? Taken::news : Taken::nothing;
     if (lists.foreign)
         runtime::log("cluster",
-                     "discovery tells changes up to a version before %u, which was heard: the whole "
+                     "discovery sends changes up to a version before %u, which was received: the whole "
                      "list is asked for",
                      asked_);
     else if (lists.fits)
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -64,11 +64,11 @@
     dispatch::Listed begin_with_known();
     // The same of a list that was read already.
     dispatch::Listed begin_with(const News& known);
-    // Entries that an earlier process was told hold no longer: nothing is sent to them until discovery lists
-    // them as ready. `from_config`: this process begins with the list of its config, of which nothing is
-    // believed before discovery's whole list where the entries are not complete.
+    // Entries that hold no longer by what an earlier process received: nothing is sent to them until
+    // discovery lists them as ready. `from_config`: this process begins with the list of its config, of which
+    // nothing is believed before discovery's whole list where the entries are not complete.
     void begin_with_departed(const dispatch::DepartedEntries& departed, bool from_config);
-    // Told what the next process has to know of them.
+    // Receives each change of them, to be kept for the next process.
     void departures_to(std::function<void(const dispatch::DepartureChange&)> keep) {
         keep_departures_ = std::move(keep);
     }
--- a/src/cluster/departures.hpp
+++ b/src/cluster/departures.hpp
@@ -19,7 +19,7 @@
 
 namespace brasslift::cluster {
 
-// The same in every process that is told of the entry at that address.
+// The same in every process that receives the entry with that address.
 std::uint64_t entry_name(std::string_view uid, runtime::Address address, DestinationId destination);
 
 class Departures {
--- a/src/cluster/table.hpp
+++ b/src/cluster/table.hpp
@@ -71,8 +71,8 @@
     bool staging() const { return phase_ == Phase::staging; }
     bool swept() const { return phase_ == Phase::settled; }
     // Works off at most so many records after commit() or abort(). True: done, it may begin anew.
-    // `visit`: told of each host of the new list and of those that it does not name any more, which are gone;
-    // of one whose address or destination is another now, both as it was, gone, and as it is.
+    // `visit` is called with each host of the new list and those that it does not name any more, which are
+    // gone; with one whose address or destination is another now, both as it was, gone, and as it is.
     using Visit = std::function<void(const HostView&)>;
     bool sweep(
         std::size_t most, Time now, const Visit& visit = [](const HostView&) {});
--- a/src/dispatch/calls.cpp
+++ b/src/dispatch/calls.cpp
@@ -162,7 +162,8 @@
     unrecorded_.push_back({std::move(notice), due});
 }
 
-void Dispatcher::retry_records() {
+void Dispatcher::note_departures(const DepartureChange& change) {
+    ledger_.note_departures(change);
     if (ledger_.settled()) return;
     try_records_at_ = scheduler_.now() + record_retry_ms;
     waker_.notify();
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -82,8 +82,9 @@
     void resume(const std::set<MessageId>& out);
     runtime::Task<void> run();
 
-    // The ledger holds what the store has not taken yet: it is tried again soon.
-    void retry_records();
+    // Keeps for the next process which entries of discovery's list hold no longer. What the store does not
+    // take is tried again until it does.
+    void note_departures(const DepartureChange& change);
     // Works off what has come in. Whether nothing is left that waits for the store or for room under a cap.
     bool settle();
     CoreState save() const;
--- a/src/dispatch/ledger.cpp
+++ b/src/dispatch/ledger.cpp
@@ -170,13 +170,6 @@
     return ids;
 }
 
-void DepartureChange::add(const DepartureChange& later) {
-    if (later.cleared) *this = {};
-    cleared = cleared || later.cleared;
-    incomplete = incomplete || later.incomplete;
-    for (const auto& [entry, has_departed] : later.departed) departed.insert_or_assign(entry, has_departed);
-}
-
 void Ledger::note_departures(const DepartureChange& change) {
     late_departures_.add(change);
     flush_late();
--- a/src/downstream/room.cpp
+++ b/src/downstream/room.cpp
@@ -109,7 +109,7 @@
                 (first == nullptr || c->heard < first->heard))
                 first = c.get();
         if (first == nullptr) return false;
-        turned_away(first->parser.message().target);
+        note_rejection(first->parser.message().target);
         evict(*first);
     }
     return true;
--- a/src/downstream/server.cpp
+++ b/src/downstream/server.cpp
@@ -25,8 +25,8 @@
 constexpr int accepts_in_a_row = 64;
 // Beyond the table's places: so many connections at once that are turned away get their request read to its
 // end first, for so long each, so that the close takes nothing with it.
-constexpr std::size_t most_turned_away = 16;
-constexpr double turn_away_ms = 300;
+constexpr std::size_t most_rejecting = 16;
+constexpr double reject_ms = 300;
 constexpr double accept_pause_ms = 20;
 constexpr double last_accepts_ms = 1500;  // for what waits in the queue once no more is listened for
 constexpr double crowd_pause_ms = 500;
@@ -204,7 +204,7 @@
     }
     if (open_ >= limits_.connections && !make_room()) {
         // Every other one has a request that is being answered.
-        if (turning_away_ < most_turned_away) return scheduler_.spawn(turn_away(std::move(connection)));
+        if (rejecting_ < most_rejecting) return scheduler_.spawn(reject_connection(std::move(connection)));
         connection->socket.write(reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
         connection->socket.end_sending();
         return;
@@ -216,10 +216,10 @@
 
 // A local reply once the request has come, then a close over nothing unread: that would take the reply with
 // it.
-runtime::Task<void> Server::turn_away(std::shared_ptr<Connection> connection) {
+runtime::Task<void> Server::reject_connection(std::shared_ptr<Connection> connection) {
     auto& c = *connection;
-    ++turning_away_;
-    const Time until = scheduler_.now() + turn_away_ms;
+    ++rejecting_;
+    const Time until = scheduler_.now() + reject_ms;
     while (!c.parser.complete() && c.parser.fault() == http::Fault::none && scheduler_.now() < until) {
         const auto got = c.socket.read(scratch_.data(), scratch_.size());
         if (got.io == runtime::Io::done)
@@ -229,11 +229,11 @@
         else
             break;
     }
-    turned_away(c.parser.message().target);
+    note_rejection(c.parser.message().target);
     const bool written = co_await write_all(c, reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
     c.close_mode = CloseMode::after_refusal;
     if (written) co_await close_gracefully(c);
-    --turning_away_;
+    --rejecting_;
 }
 
 void Server::keep(std::shared_ptr<Connection> connection) {
@@ -262,9 +262,9 @@
     closing_drained_ = false;
 }
 
-void Server::turned_away(std::string_view target) const {
+void Server::note_rejection(std::string_view target) const {
     if (const int place = class_of(target, config_.classes); place >= 0)
-        turned_away_(static_cast<std::size_t>(place));
+        count_rejection_(static_cast<std::size_t>(place));
 }
 
 void Server::close_idle() {
@@ -418,7 +418,7 @@
         if (c.parser.fault() != http::Fault::none) co_return false;
         const bool fits = hold(c, c.parser.memory() + c.unread.capacity()) || shed_unfinished(c);
         if (!fits) {
-            turned_away(c.parser.message().target);
+            note_rejection(c.parser.message().target);
             c.closed_by = ClosedBy::no_memory;
             c.close_mode = CloseMode::after_refusal;
             co_await write_all(c, reply({dispatch::Reply::full, crowd_pause_ms, 0}, true));
--- a/src/downstream/server.hpp
+++ b/src/downstream/server.hpp
@@ -74,9 +74,7 @@
     // Told of each message whose 202 could not be written.
     void untold_to(std::function<void(MessageId)> untold) { untold_ = std::move(untold); }
     // Told of each request of a class that was turned away here, for want of room.
-    void turned_away_to(std::function<void(std::size_t)> turned_away) {
-        turned_away_ = std::move(turned_away);
-    }
+    void rejections_to(std::function<void(std::size_t)> count) { count_rejection_ = std::move(count); }
     // Told of the end of each connection.
     void closed_to(std::function<void(const ConnectionEnd&)> closed) { closed_to_ = std::move(closed); }
     void trace(bool on) { traced_ = on; }
@@ -100,7 +98,7 @@
     // Bytes of memory that requests take which have not been handed over.
     std::size_t request_memory() const;
     // No connection is there and none will come.
-    bool over() const { return !listener_ && open_ == 0 && turning_away_ == 0; }
+    bool over() const { return !listener_ && open_ == 0 && rejecting_ == 0; }
     // Times that accept failed for the system's trouble.
     std::uint64_t accepts_failed() const { return accepts_failed_; }
     // Connections that were to be closed while they waited for an answer; none was.
@@ -131,14 +129,14 @@
     bool make_room();
     void evict(Connection& c);
     static void dismiss(Connection& c);
-    runtime::Task<void> turn_away(std::shared_ptr<Connection> connection);
+    runtime::Task<void> reject_connection(std::shared_ptr<Connection> connection);
     void drop_spare();
     bool hold(Connection& c, std::size_t bytes);
     bool shed_unfinished(const Connection& asking);
     void release_request(Connection& c);
     void note_end(const Connection& c);
     runtime::Task<void> close_drained();
-    void turned_away(std::string_view target) const;
+    void note_rejection(std::string_view target) const;
 
     runtime::Scheduler& scheduler_;
     const config::Config& config_;
@@ -151,11 +149,11 @@
     std::list<std::shared_ptr<Connection>> connections_;
     Submit submit_;
     std::function<void(MessageId)> untold_;
-    std::function<void(std::size_t)> turned_away_;
+    std::function<void(std::size_t)> count_rejection_;
     std::function<void(const ConnectionEnd&)> closed_to_;
     std::array<std::uint64_t, closed_by_count> closed_{};
     std::uint64_t accepts_failed_ = 0, unanswered_ = 0, ended_with_unanswered_ = 0, last_number_ = 0;
-    std::size_t open_ = 0, held_ = 0, turning_away_ = 0;
+    std::size_t open_ = 0, held_ = 0, rejecting_ = 0;
     std::array<char, 16384> scratch_;  // what a read brings, until it is kept; nobody waits in between
     bool traced_ = false, closing_drained_ = false, paused_ = false;
 };
--- a/src/serve/life.cpp
+++ b/src/serve/life.cpp
@@ -125,10 +125,8 @@
     pool_.report_to([&](dispatch::Verdict verdict) { core.put(std::move(verdict)); });
     pool_.call_ended_to([&](MessageId id) { core.put(dispatch::CallEnded{id}); });
     notices_.report_to([&](dispatch::Told told) { core.put(std::move(told)); });
-    cluster_.departures_to([&](const dispatch::DepartureChange& change) {
-        ledger_.note_departures(change);
-        dispatcher_.retry_records();
-    });
+    cluster_.departures_to(
+        [&](const dispatch::DepartureChange& change) { dispatcher_.note_departures(change); });
     cluster_.tell_to([&](dispatch::Listed listed) { core.put(std::move(listed)); });
     server_.submit_to([&](dispatch::Submission submission) { core.put(std::move(submission)); });
     server_.untold_to([&](MessageId id) { core.put(dispatch::Untold{id}); });
@@ -140,7 +138,7 @@
         dispatcher_.events().note(dispatch::EndpointConnectionEvent{
             scheduler_.now(), end.number, end.host, upstream::name_of(end.by), end.calls, end.idle_ms});
     });
-    server_.turned_away_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
+    server_.rejections_to([&](std::size_t message_class) { dispatcher_.throttled(message_class); });
     dispatcher_.look_up_in(&cluster_);
     keeper_.tell_to([&] { core.put(dispatch::Synced{}); });
 }
--- a/tests/bad_clients_test.cpp
+++ b/tests/bad_clients_test.cpp
@@ -57,7 +57,7 @@
     explicit Front(Server::Limits limits) : server(scheduler, config, limits, lifecycle) {
         server.submit_to([this](dispatch::Submission) { ++submitted; });
         server.untold_to([](MessageId) {});
-        server.turned_away_to([this](std::size_t) { ++turned_away; });
+        server.rejections_to([this](std::size_t) { ++rejected; });
         lifecycle.begin();
         port = lab::free_port();
         if (!server.listen(lab::local(port))) throw std::runtime_error("cannot listen");
@@ -76,7 +76,7 @@
     runtime::Scheduler scheduler;
     Server server;
     std::uint16_t port = 0;
-    int submitted = 0, turned_away = 0;
+    int submitted = 0, rejected = 0;
 };
 
 Server::Limits limits_of(std::size_t connections, std::size_t request_bytes) {
@@ -150,7 +150,7 @@
     EXPECT_TRUE(front.await([&] { return front.submitted == 1; }));
     EXPECT_EQ(other.seen(), "");
     EXPECT_GT(count_with(halves, "HTTP/1.1 408"), 0);
-    EXPECT_GT(front.turned_away, 0);
+    EXPECT_GT(front.rejected, 0);
 }
 
 // Guards against connections that have had their last answer and keep new ones out.
--- a/tests/core_faults_test.cpp
+++ b/tests/core_faults_test.cpp
@@ -48,7 +48,6 @@
         listed.lines.back().endpoint = {1, 0};
         listed.lines.back().destination = 1;
         listed.lines.back().weight = 1000;
-        listed.lines.back().name = 7;
         dispatcher.recover(listed);
         scheduler.spawn(dispatcher.run());
     }
@@ -199,7 +198,7 @@
     EXPECT_TRUE(next.await([&] { return !next.upstream.calls.empty(); }, 1000));
 }
 
-// Guards against a message that is withdrawn, as its client could not be told, and then told as taken on to
+// Guards against a message that is withdrawn, as its client got no answer, and then answered as accepted to
 // whoever hands it in again under its id: nobody went on with it.
 TEST(CoreFaults, AnIdWhoseClientLeftIsNotToldAsTakenOnAgain) {
     constexpr std::uint16_t payment = 2;
@@ -259,8 +258,7 @@
     });
     dispatch::DepartureChange word;
     word.departed[7] = true;
-    core.ledger.note_departures(word);
-    core.dispatcher.retry_records();
+    core.dispatcher.note_departures(word);
     core.await([] { return false; }, 50);
     EXPECT_EQ(core.ledger.departed().names.count(7), 0U);
     disk.follow({});
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -66,8 +66,8 @@
     EXPECT_EQ(handover::format, 8U);
     EXPECT_EQ(sender.save().size(), 1093U);
     EXPECT_EQ(state::pack(pool).size(), 288U);
-    EXPECT_EQ(state::pack(cluster).size(), 108U);
-    EXPECT_EQ(state::pack(core).size(), 126U);
+    EXPECT_EQ(state::pack(cluster).size(), 100U);
+    EXPECT_EQ(state::pack(core).size(), 118U);
     EXPECT_EQ(state::pack(server).size(), 49U);
 }
 
--- a/tests/one_process.hpp
+++ b/tests/one_process.hpp
@@ -32,7 +32,7 @@
     std::map<std::string, dispatch::Ending> ended;
 };
 
-// An endpoint that answers as it is told and counts what came.
+// An endpoint that answers as its reply says and counts what came.
 struct Endpoint {
     explicit Endpoint(runtime::Scheduler& scheduler)
         : party(scheduler, [this](const http::Message& request) { return take(request); }) {}
@@ -90,7 +90,7 @@
         pool.report_to([this](dispatch::Verdict verdict) { dispatcher.mailbox().put(std::move(verdict)); });
         cluster.tell_to([this](dispatch::Listed listed) { dispatcher.mailbox().put(std::move(listed)); });
         cluster.departures_to(
-            [this](const dispatch::DepartureChange& change) { ledger.note_departures(change); });
+            [this](const dispatch::DepartureChange& change) { dispatcher.note_departures(change); });
         dispatcher.look_up_in(&cluster, rest_ms);
         store::Report report;
         if (store.open(0, report) != store::Fault::none || !ledger.recover(report))
