--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -408,15 +408,18 @@
 
 Dispatcher::Dispatcher(std::string root, std::string discovery)
     : root_(std::move(root)), discovery_(std::move(discovery)) {
+    // The name of the Unix socket by which a process takes over has to fit: a short path.
     const char* const at = std::getenv("TMPDIR");
-    std::string pattern = std::string(at != nullptr && *at != '\0' ? at : "/tmp") + "/review2-XXXXXX";
+    const std::string given = at != nullptr ? at : "";
+    std::string pattern = (given.empty() || given.size() > 40 ? "/tmp" : given) + "/review2-XXXXXX";
     if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
     folder_ = pattern;
     std::filesystem::create_directory(folder_ + "/state");
     std::filesystem::create_directory(folder_ + "/tmp");
-    const int fd = bound_socket();
-    port_ = port_of(fd);
-    ::close(fd);
+    // Bound and not listening for as long as the case runs, so that nobody else is given the port between the
+    // dispatcher's lives.
+    held_port_ = bound_socket();
+    port_ = port_of(held_port_);
 }
 
 Dispatcher::~Dispatcher() {
@@ -425,6 +428,7 @@
         ::kill(pid, SIGKILL);
         ::waitpid(pid, nullptr, 0);
     }
+    ::close(held_port_);
     std::error_code error;
     std::filesystem::remove_all(folder_, error);
 }
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -199,7 +199,7 @@
 
 private:
     std::string root_, discovery_, folder_;
-    int port_ = 0;
+    int port_ = 0, held_port_ = -1;
     pid_t pid_ = -1, former_ = -1;
     int end_signal_ = -1, exit_code_ = -1, starts_ = 0;
 };
