--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -406,6 +406,33 @@
            "\"weights\":\"rough\",\"zone\":1}}";
 }
 
+std::vector<Endpoint*> add_well_partners(Site& site) {
+    std::vector<Endpoint*> all;
+    for (int i = 0; i < 2 * well_partners; ++i) {
+        const auto name = "w-" + std::to_string(i + 1);
+        all.push_back(new Endpoint(name, [](Conn& conn, const Request&) {
+            sleep_ms(10);
+            conn.answer(200);
+        }));
+        Target target{name, all.back()->address(), first_well_partner + i / 2};
+        target.zone = i % 2 == 0 ? "room-b" : "room-c";
+        site.known.push_back(target);
+    }
+    return all;
+}
+
+bool hand_in_for_the_others(int port, const Site& site, int count) {
+    bool taken = true;
+    for (int i = 0; i < count; ++i) {
+        const auto number = std::to_string(i + 1);
+        const Message message{"payment", "other-" + number, site.members[0],
+                              "",        "other " + number, first_well_partner + i % well_partners,
+                              28000};
+        taken = hand_in(port, message).status == 202 && taken;
+    }
+    return taken;
+}
+
 Dispatcher::Dispatcher(std::string root, std::string discovery)
     : root_(std::move(root)), discovery_(std::move(discovery)) {
     // The name of the Unix socket by which a process takes over has to fit: a short path.
@@ -523,11 +550,13 @@
 }
 
 bool Dispatcher::planned_restart(const std::function<void()>& between) {
+    const double told_at = now_ms();
     signal(SIGTERM);
     if (!ended(3700)) {
         signal(SIGKILL);
         ended(2000);
     }
+    sleep_ms(std::max(0.0, told_at + 3700 - now_ms()));
     between();
     sleep_ms(600);
     start();
--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -190,7 +190,7 @@
     // go to the new one, and the old one is told to stop by retire().
     void start_beside();
     void retire();
-    // SIGTERM, SIGKILL 3.7 s later where it is still there, and a start 0.6 s after that.
+    // SIGTERM, 3.7 s for the process to end, SIGKILL where it is still there, and a start 0.6 s after that.
     bool planned_restart(const std::function<void()>& between = [] {});
     std::string log() const;
     // How it ended: 0 by itself, else the signal's number; -1: it runs.
@@ -204,6 +204,13 @@
     int end_signal_ = -1, exit_code_ = -1, starts_ = 0;
 };
 
+// Three more partners, which are well all the time, for the rest of the traffic: destinations 4 to 6 with two
+// endpoints each, in the other rooms. They are added to the list as known.
+std::vector<Endpoint*> add_well_partners(Site& site);
+constexpr int first_well_partner = 4, well_partners = 3;
+// Hands in so many payments for them, one after the other. Whether all were taken on.
+bool hand_in_for_the_others(int port, const Site& site, int count);
+
 // Whether the case runs with its disruption.
 bool trouble();
 // Runs the case: 0 the rule held, 1 it was broken, 2 the case could not run.
